--- /dev/null
+++ b/src/base/units.h
@@ -0,0 +1,36 @@
+#ifndef IBISROCK_BASE_UNITS_H
+#define IBISROCK_BASE_UNITS_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace ibisrock {
+
+using Micros = std::chrono::microseconds;
+using Millis = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+/// Tag of the clock behind TimerService; it never goes backwards and its zero is arbitrary.
+struct MonotonicClock
+{
+  using duration = Micros;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = MonotonicClock::time_point;
+
+/// A rate in events per second.
+struct PerSecond
+{
+  double value_ = 0;
+
+  auto operator<=>(const PerSecond&) const = default;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,126 @@
+#include "adapters/caller_api.h"
+#include "adapters/http_instance_list.h"
+#include "adapters/http_object_store.h"
+#include "adapters/http_target_client.h"
+#include "adapters/nng_transport.h"
+#include "daemon/settings.h"
+#include "process/instance.h"
+
+#include <chrono>
+#include <csignal>
+#include <easylogging++.h>
+#include <iostream>
+#include <random>
+#include <thread>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace {
+
+using namespace ibisrock;
+
+constexpr int kExitUsage = 2;
+constexpr int kExitFailure = 1;
+constexpr auto kIdlePollTime = std::chrono::milliseconds(20);
+/// Time for the replies of finished requests to leave the process.
+constexpr auto kFlushTime = std::chrono::milliseconds(200);
+
+/// Start time of this process, which is higher for each later start on any machine with a set clock.
+Incarnation
+CurrentIncarnation()
+{
+  return Incarnation(static_cast<uint64_t>(
+    std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch()).count()));
+}
+
+/// Blocks the stop signals in this thread and all later ones, so that only WaitForStop receives them.
+sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void
+WaitForStop(const sigset_t& aSignals)
+{
+  int received = 0;
+  sigwait(&aSignals, &received);
+}
+
+/// Serves for the balancer's lag and then until nothing is in flight.
+void
+Drain(Instance& aInstance, Micros aDrainTime)
+{
+  aInstance.BeginLeave();
+  std::this_thread::sleep_for(aDrainTime);
+  while (!aInstance.IsIdle()) {
+    std::this_thread::sleep_for(kIdlePollTime);
+  }
+  std::this_thread::sleep_for(kFlushTime);
+}
+
+int
+Fail(const LastReason& aReason)
+{
+  LOG(ERROR) << "daemon: " << aReason.Text();
+  return kExitFailure;
+}
+
+int
+Run(const daemon::Settings& aSettings)
+{
+  const sigset_t signals = BlockStopSignals();
+  LastReason reason;
+  auto timers = SteadyTimerService::Create();
+  Random random(std::random_device{}());
+  auto transport = adapters::NngTransport::Create(aSettings.peerAddress_, reason);
+  if (!transport) {
+    return Fail(reason);
+  }
+  adapters::HttpTargetClient targets(aSettings.targetThreads_);
+  adapters::HttpObjectStore store(aSettings.platformAddress_);
+  adapters::HttpInstanceList instances(aSettings.platformAddress_);
+  const InstanceIdentity self{ InstanceId(aSettings.instance_),
+                               PeerAddress(aSettings.peerAddress_),
+                               DataCentre(aSettings.dataCentre_),
+                               CurrentIncarnation() };
+  auto instance = Instance::Create(self, { *timers, random, **transport, targets, store, instances }, reason);
+  if (!instance) {
+    return Fail(reason);
+  }
+  (*transport)->SetReceiver([&instance](std::string_view aBytes) { (*instance)->Receive(aBytes); });
+  (*instance)->Start();
+  auto server = adapters::HttpServer::Create(
+    { aSettings.callerAddress_, 5, aSettings.maxCallers_ }, adapters::MakeCallerApi(**instance), reason);
+  if (!server) {
+    return Fail(reason);
+  }
+  LOG(INFO) << "daemon: instance " << aSettings.instance_ << " serves callers on " << aSettings.callerAddress_;
+  WaitForStop(signals);
+  LOG(INFO) << "daemon: stop requested, finishing requests in flight";
+  Drain(**instance, aSettings.drainTime_);
+  LOG(INFO) << "daemon: stopped";
+  // Adapters call back from their own threads until they are destroyed, so the process ends without unwinding them.
+  std::_Exit(0);
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  el::Loggers::reconfigureAllLoggers(el::ConfigurationType::ToFile, "false");
+  LastReason reason;
+  auto settings = daemon::ReadSettings({ aArgv + 1, aArgv + aArgc }, reason);
+  if (!settings) {
+    std::cerr << "ibisrockd: " << reason.Text() << "\n";
+    return kExitUsage;
+  }
+  return Run(*settings);
+}
--- /dev/null
+++ b/src/fakes/fake_network.h
@@ -0,0 +1,77 @@
+#ifndef IBISROCK_FAKES_FAKE_NETWORK_H
+#define IBISROCK_FAKES_FAKE_NETWORK_H
+
+#include "base/peer_transport.h"
+#include "base/timer_service.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace ibisrock::fakes {
+
+/// Carries messages between the instances of a test on a timer service, with cuts, freezes and counters.
+class FakeNetwork
+{
+public:
+  using Receiver = std::function<void(std::string_view)>;
+
+  explicit FakeNetwork(TimerService& aTimers)
+    : timers_(aTimers)
+  {
+  }
+
+  void Attach(const PeerAddress& aAddress, Receiver aReceiver);
+  /// Messages to this address are lost from now on, and sends to it fail.
+  void Detach(const PeerAddress& aAddress);
+  /// Sends from aFrom to aTo are lost without notice while cut.
+  void SetCut(const PeerAddress& aFrom, const PeerAddress& aTo, bool aCut);
+  /// Messages to a frozen address wait until it is thawed.
+  void SetFrozen(const PeerAddress& aAddress, bool aFrozen);
+  void SetDelay(Micros aDelay);
+
+  bool Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes);
+  uint64_t MessagesSent() const;
+  uint64_t BytesSent() const;
+
+private:
+  void Deliver(const PeerAddress& aTo, const std::string& aBytes);
+
+  TimerService& timers_;
+  mutable std::mutex mutex_;
+  Micros delay_ = Micros(500);
+  std::map<PeerAddress, Receiver> receivers_;
+  std::set<std::pair<PeerAddress, PeerAddress>> cuts_;
+  std::map<PeerAddress, std::vector<std::string>> frozen_;
+  uint64_t messages_ = 0;
+  uint64_t bytes_ = 0;
+};
+
+/// The network as one instance sees it.
+class FakeTransport final : public PeerTransport
+{
+public:
+  FakeTransport(FakeNetwork& aNetwork, PeerAddress aSelf)
+    : network_(aNetwork)
+    , self_(std::move(aSelf))
+  {
+  }
+
+  bool Send(const PeerAddress& aPeer, std::string aBytes) override
+  {
+    return network_.Send(self_, aPeer, std::move(aBytes));
+  }
+
+private:
+  FakeNetwork& network_;
+  const PeerAddress self_;
+};
+
+} // namespace ibisrock::fakes
+
+#endif
--- /dev/null
+++ b/src/process/attempt_router.h
@@ -0,0 +1,72 @@
+#ifndef IBISROCK_PROCESS_ATTEMPT_ROUTER_H
+#define IBISROCK_PROCESS_ATTEMPT_ROUTER_H
+
+#include "process/config_keeper.h"
+#include "process/dispatcher_table.h"
+#include "process/membership.h"
+#include "request/attempt_sender.h"
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace ibisrock {
+
+/// Sends a message body to a peer in an envelope of this instance. Returns false when it was certainly not sent.
+using SendToPeer = std::function<bool(const PeerAddress&, wire::Body)>;
+
+/// Brings attempts to the owners of their replicas and runs the attempts that other instances send here. Thread-safe.
+class AttemptRouter final : public AttemptSender
+{
+public:
+  AttemptRouter(InstanceIdentity aSelf,
+                Environment aEnvironment,
+                const Membership& aMembership,
+                const ConfigKeeper& aConfig,
+                DispatcherTable& aDispatchers,
+                SendToPeer aSend);
+
+  void Start(const wire::SubRequest& aRequest, Callback aCallback) override;
+  void Cancel(const AttemptId& aId) override;
+
+  /// Runs an attempt that a peer forwarded and sends it the outcome.
+  void OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest);
+  /// Hands the outcome of a forwarded attempt to its run. Late and repeated outcomes are dropped.
+  void OnSubReply(const wire::SubReply& aReply);
+  void OnCancel(const wire::CancelAttempt& aCancel);
+
+private:
+  struct Pending
+  {
+    Callback callback_;
+    TargetName target_;
+    /// Empty when the attempt runs here.
+    PeerAddress owner_;
+    TimerId timeout_;
+  };
+  struct Shard
+  {
+    std::mutex mutex_;
+    std::map<AttemptId, Pending> pending_;
+  };
+  static constexpr size_t kShardCount = 16;
+
+  Shard& ShardOf(const AttemptId& aId) { return shards_[aId.request_.sequence_ % kShardCount]; }
+  std::optional<TargetConfig> FindTarget(const ServiceName& aService, const TargetName& aTarget) const;
+  void RunHere(const TargetConfig& aTarget, const wire::SubRequest& aRequest, Callback aCallback);
+  void Forward(const PeerAddress& aOwner, const wire::SubRequest& aRequest, Callback aCallback);
+  std::optional<Pending> Take(const AttemptId& aId);
+
+  const InstanceIdentity self_;
+  Environment environment_;
+  const Membership& membership_;
+  const ConfigKeeper& config_;
+  DispatcherTable& dispatchers_;
+  SendToPeer send_;
+  std::array<Shard, kShardCount> shards_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/coordinator.cpp
@@ -0,0 +1,57 @@
+#include "process/coordinator.h"
+
+#include <utility>
+
+namespace ibisrock {
+
+namespace {
+
+Answer
+Refusal(const RequestId& aId, Reason aReason)
+{
+  Answer answer;
+  answer.request_ = aId;
+  answer.verdict_ = Verdict::NotRun;
+  answer.reason_ = aReason;
+  return answer;
+}
+
+} // namespace
+
+Coordinator::Coordinator(InstanceIdentity aSelf,
+                         Environment aEnvironment,
+                         const ConfigKeeper& aConfig,
+                         AttemptSender& aSender)
+  : self_(std::move(aSelf))
+  , environment_(aEnvironment)
+  , config_(aConfig)
+  , sender_(aSender)
+{
+}
+
+void
+Coordinator::Submit(Query aQuery, AnswerCallback aCallback)
+{
+  const RequestId id{ self_.id_, self_.incarnation_, ++lastSequence_ };
+  auto configuration = config_.Current();
+  if (!configuration) {
+    aCallback(Refusal(id, Reason::NotReady));
+    return;
+  }
+  auto service = configuration->services_.find(aQuery.service_);
+  if (service == configuration->services_.end()) {
+    aCallback(Refusal(id, Reason::UnknownService));
+    return;
+  }
+  inFlight_++;
+  RunPlan plan{ id, std::move(aQuery), service->second, configuration->version_, service->second->shardMap_ };
+  auto run = QueryRun::Create(std::move(plan),
+                              { environment_.timers_, environment_.random_, sender_ },
+                              [this, callback = std::move(aCallback)](Answer aAnswer) {
+                                callback(std::move(aAnswer));
+                                inFlight_--;
+                              });
+  run->Start();
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/process/dispatcher_table.h
@@ -0,0 +1,52 @@
+#ifndef IBISROCK_PROCESS_DISPATCHER_TABLE_H
+#define IBISROCK_PROCESS_DISPATCHER_TABLE_H
+
+#include "connection/replica_dispatcher.h"
+#include "process/environment.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace ibisrock {
+
+/// The dispatchers of all replicas that this instance has been asked to run attempts on. Thread-safe.
+class DispatcherTable
+{
+public:
+  explicit DispatcherTable(Environment aEnvironment)
+    : environment_(aEnvironment)
+  {
+  }
+
+  /// The dispatcher of a replica, made at the first use and again when the replica's configuration has changed.
+  std::shared_ptr<ReplicaDispatcher> Get(const TargetConfig& aTarget);
+  /// Asks every dispatcher to drop the attempt.
+  void Cancel(const TargetName& aTarget, const AttemptId& aId);
+  /// True when no dispatcher has work.
+  bool IsIdle() const;
+
+private:
+  struct Entry
+  {
+    TargetConfig config_;
+    std::shared_ptr<ReplicaDispatcher> dispatcher_;
+  };
+  struct Shard
+  {
+    mutable std::mutex mutex_;
+    std::unordered_map<TargetName, Entry> entries_;
+  };
+  static constexpr size_t kShardCount = 16;
+
+  Shard& ShardOf(const TargetName& aTarget);
+
+  Environment environment_;
+  std::array<Shard, kShardCount> shards_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/environment.h
@@ -0,0 +1,35 @@
+#ifndef IBISROCK_PROCESS_ENVIRONMENT_H
+#define IBISROCK_PROCESS_ENVIRONMENT_H
+
+#include "base/instance_list.h"
+#include "base/object_store.h"
+#include "base/peer_transport.h"
+#include "base/random.h"
+#include "base/target_client.h"
+#include "base/timer_service.h"
+
+namespace ibisrock {
+
+/// Everything outside the library that an instance uses. It outlives the instance.
+struct Environment
+{
+  TimerService& timers_;
+  Random& random_;
+  PeerTransport& transport_;
+  TargetClient& targets_;
+  ObjectStore& store_;
+  InstanceList& instances_;
+};
+
+/// Who an instance is. Fixed for the life of the process.
+struct InstanceIdentity
+{
+  InstanceId id_;
+  PeerAddress address_;
+  DataCentre dataCentre_;
+  Incarnation incarnation_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/instance.cpp
@@ -0,0 +1,137 @@
+#include "process/instance.h"
+
+#include "wire/codec.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace ibisrock {
+
+namespace {
+
+/// Joins lambdas into one visitor for std::visit.
+template<typename... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+template<typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace
+
+std::optional<std::unique_ptr<Instance>>
+Instance::Create(InstanceIdentity aSelf, Environment aEnvironment, LastReason& aReason)
+{
+  if (aSelf.id_.IsEmpty() || aSelf.address_.IsEmpty()) {
+    aReason.Set("an instance needs an id and an address");
+    return std::nullopt;
+  }
+  return std::unique_ptr<Instance>(new Instance(std::move(aSelf), aEnvironment));
+}
+
+Instance::Instance(InstanceIdentity aSelf, Environment aEnvironment)
+  : self_(std::move(aSelf))
+  , environment_(aEnvironment)
+  , membership_(self_, environment_)
+  , config_(environment_)
+  , dispatchers_(environment_)
+  , router_(self_,
+            environment_,
+            membership_,
+            config_,
+            dispatchers_,
+            [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
+  , coordinator_(self_, environment_, config_, router_)
+{
+}
+
+void
+Instance::Start()
+{
+  membership_.Start();
+  config_.Start();
+}
+
+void
+Instance::Submit(Query aQuery, AnswerCallback aCallback)
+{
+  coordinator_.Submit(std::move(aQuery), std::move(aCallback));
+}
+
+bool
+Instance::SendToPeerAddress(const PeerAddress& aPeer, wire::Body aBody)
+{
+  const wire::Envelope envelope{
+    self_.id_, self_.address_, self_.incarnation_, environment_.timers_.Now().time_since_epoch(), std::move(aBody)
+  };
+  return environment_.transport_.Send(aPeer, wire::Encode(envelope));
+}
+
+void
+Instance::Receive(std::string_view aBytes)
+{
+  LastReason reason;
+  auto envelope = wire::Decode(aBytes, reason);
+  if (!envelope) {
+    return;
+  }
+  std::visit(Overloaded{
+               [&](const wire::SubRequest& aRequest) { router_.OnSubRequest(envelope->replyTo_, aRequest); },
+               [&](const wire::SubReply& aReply) { router_.OnSubReply(aReply); },
+               [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
+             },
+             envelope->body_);
+}
+
+void
+Instance::BeginLeave()
+{
+  leaving_ = true;
+  membership_.Leave();
+}
+
+bool
+Instance::IsIdle() const
+{
+  return coordinator_.InFlight() == 0 && dispatchers_.IsIdle();
+}
+
+bool
+Instance::IsReady(LastReason& aReason) const
+{
+  if (leaving_) {
+    aReason.Set("the instance is leaving");
+    return false;
+  }
+  if (!config_.Current()) {
+    aReason.Set("no configuration has been read yet");
+    return false;
+  }
+  return true;
+}
+
+std::string
+Instance::DumpState() const
+{
+  LastReason reason;
+  auto configuration = config_.Current();
+  auto view = membership_.View();
+  nlohmann::json members = nlohmann::json::array();
+  for (const Member& member : view->members_) {
+    members.push_back({ { "id", member.id_.Value() }, { "data_centre", member.dataCentre_.Value() } });
+  }
+  return nlohmann::json{
+    { "instance", self_.id_.Value() },
+    { "data_centre", self_.dataCentre_.Value() },
+    { "incarnation", self_.incarnation_.Value() },
+    { "ready", IsReady(reason) },
+    { "not_ready_reason", reason.Text() },
+    { "config_version", configuration ? configuration->version_.Value() : 0 },
+    { "queries_in_flight", coordinator_.InFlight() },
+    { "members", members }
+  }.dump(2);
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/standin/main.cpp
@@ -0,0 +1,113 @@
+#include "adapters/socket_address.h"
+#include "standin/platform_standin.h"
+#include "standin/target_standin.h"
+
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace ibisrock;
+
+constexpr const char* kUsage = R"(ibisrock-standin: stand-ins for the platform and for targets, for tests and trials.
+
+Usage:
+  ibisrock-standin platform --listen IP:PORT
+  ibisrock-standin targets --listen IP:PORT [--count N] [--service-ms N] [--slots N] [--index-version N]
+  ibisrock-standin --help
+
+Options:
+  --listen IP:PORT     Address of the platform, or of the first target; the others follow on the next ports.
+  --count N            Number of targets in this process [default: 1].
+  --service-ms N       Time in ms that one request holds a slot [default: 2].
+  --slots N            Requests that a target runs at the same time [default: 2].
+  --index-version N    Index version that the targets hold [default: 1].
+)";
+
+constexpr int kExitFailure = 1;
+constexpr unsigned kPlatformThreads = 256;
+constexpr unsigned kTargetThreads = 64;
+
+using Arguments = std::map<std::string, docopt::value>;
+using Servers = std::vector<std::unique_ptr<adapters::HttpServer>>;
+
+bool
+Listen(Servers& aServers, const std::string& aAddress, unsigned aThreads, adapters::HttpHandler aHandler)
+{
+  LastReason reason;
+  auto server = adapters::HttpServer::Create({ aAddress, 1, aThreads }, std::move(aHandler), reason);
+  if (!server) {
+    std::cerr << "ibisrock-standin: " << reason.Text() << "\n";
+    return false;
+  }
+  aServers.push_back(std::move(*server));
+  return true;
+}
+
+bool
+ListenTargets(Servers& aServers, const Arguments& aArguments)
+{
+  LastReason reason;
+  auto first = adapters::ParseSocketAddress(aArguments.at("--listen").asString(), reason);
+  if (!first) {
+    std::cerr << "ibisrock-standin: " << reason.Text() << "\n";
+    return false;
+  }
+  standin::TargetBehaviour behaviour;
+  behaviour.serviceTime_ = Millis(aArguments.at("--service-ms").asLong());
+  behaviour.slots_ = static_cast<unsigned>(aArguments.at("--slots").asLong());
+  behaviour.indexVersion_ = static_cast<uint64_t>(aArguments.at("--index-version").asLong());
+  for (long index = 0; index < aArguments.at("--count").asLong(); index++) {
+    auto target = std::make_shared<standin::TargetStandin>(behaviour);
+    const std::string address = first->ip_ + ":" + std::to_string(first->port_ + index);
+    auto handler = [target](const adapters::HttpRequest& aRequest) { return target->Handle(aRequest); };
+    if (!Listen(aServers, address, kTargetThreads, handler)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+WaitForStop()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  const Arguments arguments = docopt::docopt(kUsage, { aArgv + 1, aArgv + aArgc }, true);
+  Servers servers;
+  standin::PlatformStandin platform;
+  const bool listening =
+    arguments.at("platform").asBool()
+      ? Listen(servers,
+               arguments.at("--listen").asString(),
+               kPlatformThreads,
+               [&platform](const adapters::HttpRequest& aRequest) { return platform.Handle(aRequest); })
+      : ListenTargets(servers, arguments);
+  if (!listening) {
+    return kExitFailure;
+  }
+  WaitForStop();
+  std::_Exit(0);
+}
--- /dev/null
+++ b/src/version/shard_map.h
@@ -0,0 +1,22 @@
+#ifndef IBISROCK_VERSION_SHARD_MAP_H
+#define IBISROCK_VERSION_SHARD_MAP_H
+
+#include "base/ids.h"
+
+#include <map>
+#include <vector>
+
+namespace ibisrock {
+
+/// The partitioning of one index version: which targets hold each shard.
+struct ShardMap
+{
+  IndexVersion version_;
+  std::map<ShardName, std::vector<TargetName>> shards_;
+
+  bool operator==(const ShardMap&) const = default;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/wire/msgpack_types.h
@@ -0,0 +1,233 @@
+#ifndef IBISROCK_WIRE_MSGPACK_TYPES_H
+#define IBISROCK_WIRE_MSGPACK_TYPES_H
+
+#include "base/ids.h"
+#include "base/target_client.h"
+#include "base/units.h"
+#include "base/verdict.h"
+#include "wire/messages.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace ibisrock::wire {
+
+/// Lists the fields of a struct in wire order. Every specialization has a static function Tie that works for const
+/// and mutable objects. New fields go last, because a receiver of an older version reads a prefix.
+template<typename T>
+struct Fields;
+
+template<typename T>
+concept HasFields = requires(T& aValue)
+{
+  Fields<T>::Tie(aValue);
+};
+
+/// Largest valid value of an enum that travels in messages.
+template<typename T>
+struct EnumLimit;
+
+template<typename T>
+concept WireEnum = requires
+{
+  EnumLimit<T>::kLast;
+};
+
+template<>
+struct EnumLimit<Verdict>
+{
+  static constexpr Verdict kLast = Verdict::MayHaveRun;
+};
+
+template<>
+struct EnumLimit<Reason>
+{
+  static constexpr Reason kLast = Reason::Malformed;
+};
+
+template<>
+struct EnumLimit<TargetState>
+{
+  static constexpr TargetState kLast = TargetState::Draining;
+};
+
+template<>
+struct Fields<RequestId>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.origin_, aValue.incarnation_, aValue.sequence_); }
+};
+
+template<>
+struct Fields<AttemptId>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.request_, aValue.number_); }
+};
+
+template<>
+struct Fields<Match>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.id_, aValue.text_); }
+};
+
+template<>
+struct Fields<TargetReply>
+{
+  static auto Tie(auto& aValue)
+  {
+    return std::tie(
+      aValue.verdict_, aValue.reason_, aValue.version_, aValue.matches_, aValue.held_, aValue.state_, aValue.boot_);
+  }
+};
+
+template<>
+struct Fields<SubRequest>
+{
+  static auto Tie(auto& aValue)
+  {
+    return std::tie(aValue.id_,
+                    aValue.caller_,
+                    aValue.service_,
+                    aValue.shard_,
+                    aValue.target_,
+                    aValue.version_,
+                    aValue.body_,
+                    aValue.idempotent_,
+                    aValue.alone_,
+                    aValue.fingerprint_,
+                    aValue.budget_);
+  }
+};
+
+template<>
+struct Fields<SubReply>
+{
+  static auto Tie(auto& aValue)
+  {
+    return std::tie(
+      aValue.id_, aValue.reply_, aValue.touchedTarget_, aValue.inFlightAtLoss_, aValue.queueWait_, aValue.queueLength_);
+  }
+};
+
+template<>
+struct Fields<CancelAttempt>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.id_, aValue.target_); }
+};
+
+} // namespace ibisrock::wire
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+  namespace adaptor {
+
+  template<typename Tag>
+  struct convert<ibisrock::StringId<Tag>>
+  {
+    const msgpack::object& operator()(const msgpack::object& aObject, ibisrock::StringId<Tag>& aId) const
+    {
+      aId = ibisrock::StringId<Tag>(aObject.as<std::string>());
+      return aObject;
+    }
+  };
+
+  template<typename Tag>
+  struct pack<ibisrock::StringId<Tag>>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const ibisrock::StringId<Tag>& aId) const
+    {
+      return aPacker.pack(aId.Value());
+    }
+  };
+
+  template<typename Tag>
+  struct convert<ibisrock::NumberId<Tag>>
+  {
+    const msgpack::object& operator()(const msgpack::object& aObject, ibisrock::NumberId<Tag>& aId) const
+    {
+      aId = ibisrock::NumberId<Tag>(aObject.as<uint64_t>());
+      return aObject;
+    }
+  };
+
+  template<typename Tag>
+  struct pack<ibisrock::NumberId<Tag>>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const ibisrock::NumberId<Tag>& aId) const
+    {
+      return aPacker.pack(aId.Value());
+    }
+  };
+
+  template<>
+  struct convert<ibisrock::Micros>
+  {
+    const msgpack::object& operator()(const msgpack::object& aObject, ibisrock::Micros& aValue) const
+    {
+      aValue = ibisrock::Micros(aObject.as<int64_t>());
+      return aObject;
+    }
+  };
+
+  template<>
+  struct pack<ibisrock::Micros>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const ibisrock::Micros& aValue) const
+    {
+      return aPacker.pack(static_cast<int64_t>(aValue.count()));
+    }
+  };
+
+  template<ibisrock::wire::WireEnum T>
+  struct convert<T>
+  {
+    const msgpack::object& operator()(const msgpack::object& aObject, T& aValue) const
+    {
+      const auto number = aObject.as<uint8_t>();
+      if (number > static_cast<uint8_t>(ibisrock::wire::EnumLimit<T>::kLast)) {
+        throw msgpack::type_error();
+      }
+      aValue = static_cast<T>(number);
+      return aObject;
+    }
+  };
+
+  template<ibisrock::wire::WireEnum T>
+  struct pack<T>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const T& aValue) const
+    {
+      return aPacker.pack(static_cast<uint8_t>(aValue));
+    }
+  };
+
+  template<ibisrock::wire::HasFields T>
+  struct convert<T>
+  {
+    const msgpack::object& operator()(const msgpack::object& aObject, T& aValue) const
+    {
+      auto fields = ibisrock::wire::Fields<T>::Tie(aValue);
+      aObject.convert(fields);
+      return aObject;
+    }
+  };
+
+  template<ibisrock::wire::HasFields T>
+  struct pack<T>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const T& aValue) const
+    {
+      return aPacker.pack(ibisrock::wire::Fields<T>::Tie(aValue));
+    }
+  };
+
+  } // namespace adaptor
+}
+} // namespace msgpack
+
+#endif
