--- a/src/base/units.h
+++ b/src/base/units.h
@@ -18,7 +18,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
 };
 
 using TimePoint = MonotonicClock::time_point;
