Add gossip updates and a linter run that prints only its errors

Cause: parts that spread what they learn need one way to do it; the lint step printed thousands of suppressed library warnings. Change: Rumours with typed updates, Gossip with handlers, generic variant codec; clang-tidy's statistics go nowhere. Two lint findings are fixed.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -84,7 +84,7 @@
 }
 
 int
-CallInstance(adapters::HttpCall aCall)
+CallInstance(const adapters::HttpCall& aCall)
 {
   adapters::HttpCaller caller;
   const adapters::HttpOutcome outcome = caller.Call(aCall);
@@ -102,7 +102,7 @@
   adapters::HttpCall call;
   call.address_ = aArguments.at("--instance").asString();
   call.url_ = "/debug/state";
-  return CallInstance(std::move(call));
+  return CallInstance(call);
 }
 
 int
@@ -113,7 +113,7 @@
   call.method_ = "POST";
   call.url_ = "/v1/query/" + aArguments.at("SERVICE").asString();
   call.body_ = aArguments.at("BODY").asString();
-  return CallInstance(std::move(call));
+  return CallInstance(call);
 }
 
 struct Command
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -52,7 +52,7 @@
 
   std::string Text(const std::string& aFlag)
   {
-    const std::string value = Find(aFlag);
+    std::string value = Find(aFlag);
     if (value.empty()) {
       AddFault(aFlag, "is missing");
     }
--- a/src/process/attempt_router.h
+++ b/src/process/attempt_router.h
@@ -13,9 +13,6 @@
 
 namespace ibisrock {
 
-/// Sends a message body to a peer in an envelope of this instance. Returns false when it was certainly not sent.
-using SendToPeer = std::function<bool(const PeerAddress&, wire::Body)>;
-
 /// Brings attempts to the owners of their replicas and runs the attempts that other instances send here. Thread-safe.
 class AttemptRouter final : public AttemptSender
 {
--- a/src/process/environment.h
+++ b/src/process/environment.h
@@ -7,6 +7,9 @@
 #include "base/random.h"
 #include "base/target_client.h"
 #include "base/timer_service.h"
+#include "wire/messages.h"
+
+#include <functional>
 
 namespace ibisrock {
 
@@ -30,6 +33,9 @@
   Incarnation incarnation_;
 };
 
+/// Sends a message body to a peer in an envelope of this instance. Returns false when it was certainly not sent.
+using SendToPeer = std::function<bool(const PeerAddress&, wire::Body)>;
+
 } // namespace ibisrock
 
 #endif
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -35,6 +35,10 @@
   : self_(std::move(aSelf))
   , environment_(aEnvironment)
   , membership_(self_, environment_)
+  , gossip_(self_,
+            environment_,
+            membership_,
+            [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , config_(environment_)
   , dispatchers_(environment_)
   , router_(self_,
@@ -81,6 +85,7 @@
                [&](const wire::SubRequest& aRequest) { router_.OnSubRequest(envelope->replyTo_, aRequest); },
                [&](const wire::SubReply& aReply) { router_.OnSubReply(aReply); },
                [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
+               [&](const wire::Rumours& aRumours) { gossip_.OnRumours(aRumours); },
              },
              envelope->body_);
 }
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -6,6 +6,7 @@
 #include "process/config_keeper.h"
 #include "process/coordinator.h"
 #include "process/dispatcher_table.h"
+#include "process/gossip.h"
 #include "process/membership.h"
 
 #include <atomic>
@@ -49,6 +50,7 @@
   const InstanceIdentity self_;
   Environment environment_;
   Membership membership_;
+  Gossip gossip_;
   ConfigKeeper config_;
   DispatcherTable dispatchers_;
   AttemptRouter router_;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -2,6 +2,7 @@
 #define IBISROCK_PROCESS_MEMBERSHIP_H
 
 #include "process/environment.h"
+#include "wire/messages.h"
 
 #include <map>
 #include <memory>
@@ -10,14 +11,7 @@
 
 namespace ibisrock {
 
-/// States of a member. Within an incarnation a later one overrides an earlier one.
-enum class MemberState : uint8_t
-{
-  Alive,
-  Suspect,
-  Leaving,
-  Dead,
-};
+using wire::MemberState;
 
 struct Member
 {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -2,33 +2,12 @@
 
 #include "wire/msgpack_types.h"
 
-#include <array>
 #include <exception>
-#include <utility>
 
 namespace ibisrock::wire {
 
 namespace {
 
-using DecodeBody = Body (*)(const msgpack::object&);
-
-template<typename T>
-Body
-DecodeAs(const msgpack::object& aObject)
-{
-  return aObject.as<T>();
-}
-
-template<size_t... Index>
-constexpr std::array<DecodeBody, sizeof...(Index)>
-MakeDecoders(std::index_sequence<Index...> /*aIndexes*/)
-{
-  return { &DecodeAs<std::variant_alternative_t<Index, Body>>... };
-}
-
-/// One decoder for each alternative of Body, in its order; the position is the message's kind on the wire.
-constexpr auto kDecoders = MakeDecoders(std::make_index_sequence<std::variant_size_v<Body>>());
-
 /// Position of each field in the array that makes an envelope.
 enum EnvelopeField : uint8_t
 {
@@ -37,7 +16,6 @@
   eReplyTo,
   eIncarnation,
   eSentAt,
-  eKind,
   eBody,
   eFieldCount,
 };
@@ -56,7 +34,7 @@
                    fields[eReplyTo].as<PeerAddress>(),
                    fields[eIncarnation].as<Incarnation>(),
                    fields[eSentAt].as<Micros>(),
-                   kDecoders.at(fields[eKind].as<uint8_t>())(fields[eBody]) };
+                   fields[eBody].as<Body>() };
 }
 
 } // namespace
@@ -72,8 +50,7 @@
   packer.pack(aEnvelope.replyTo_);
   packer.pack(aEnvelope.incarnation_);
   packer.pack(aEnvelope.sentAt_);
-  packer.pack(static_cast<uint8_t>(aEnvelope.body_.index()));
-  std::visit([&packer](const auto& aBody) { packer.pack(aBody); }, aEnvelope.body_);
+  packer.pack(aEnvelope.body_);
   return { buffer.data(), buffer.size() };
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -51,7 +51,70 @@
   TargetName target_;
 };
 
-using Body = std::variant<SubRequest, SubReply, CancelAttempt>;
+/// State of an instance as its peers see it. Within an incarnation a later one overrides an earlier one.
+enum class MemberState : uint8_t
+{
+  Alive,
+  Suspect,
+  Leaving,
+  Dead,
+};
+
+/// Gossip update about an instance.
+struct MemberUpdate
+{
+  InstanceId id_;
+  PeerAddress address_;
+  DataCentre dataCentre_;
+  Incarnation incarnation_;
+  MemberState state_ = MemberState::Alive;
+};
+
+/// Gossip update about a target, from the instance that saw it first hand.
+struct TargetUpdate
+{
+  TargetName target_;
+  BootId boot_;
+  TargetState state_ = TargetState::Unknown;
+  std::vector<IndexVersion> held_;
+};
+
+/// What is known of a query that may crash targets.
+enum class CrashState : uint8_t
+{
+  Cleared,
+  Suspect,
+  Blocked,
+};
+
+/// Gossip update about a query that may crash targets.
+struct CrashUpdate
+{
+  Fingerprint fingerprint_;
+  CrashState state_ = CrashState::Suspect;
+  /// Time since the crash or the clean run that the update reports.
+  Micros age_{};
+};
+
+/// Gossip update that a newer version of a stored object exists, and which instance has it.
+struct VersionUpdate
+{
+  /// Key of the stored object.
+  std::string object_;
+  uint64_t version_ = 0;
+  /// Instance that holds the version.
+  PeerAddress holder_;
+};
+
+using Update = std::variant<MemberUpdate, TargetUpdate, CrashUpdate, VersionUpdate>;
+
+/// Gossip updates, sent alone or with a probe.
+struct Rumours
+{
+  std::vector<Update> updates_;
+};
+
+using Body = std::variant<SubRequest, SubReply, CancelAttempt, Rumours>;
 
 /// Every message between instances.
 struct Envelope
--- a/src/wire/msgpack_types.h
+++ b/src/wire/msgpack_types.h
@@ -7,8 +7,10 @@
 #include "base/verdict.h"
 #include "wire/messages.h"
 
+#include <array>
 #include <msgpack.hpp>
 #include <tuple>
+#include <variant>
 
 namespace ibisrock::wire {
 
@@ -51,6 +53,18 @@
   static constexpr TargetState kLast = TargetState::Draining;
 };
 
+template<>
+struct EnumLimit<MemberState>
+{
+  static constexpr MemberState kLast = MemberState::Dead;
+};
+
+template<>
+struct EnumLimit<CrashState>
+{
+  static constexpr CrashState kLast = CrashState::Blocked;
+};
+
 template<>
 struct Fields<RequestId>
 {
@@ -114,6 +128,39 @@
   static auto Tie(auto& aValue) { return std::tie(aValue.id_, aValue.target_); }
 };
 
+template<>
+struct Fields<MemberUpdate>
+{
+  static auto Tie(auto& aValue)
+  {
+    return std::tie(aValue.id_, aValue.address_, aValue.dataCentre_, aValue.incarnation_, aValue.state_);
+  }
+};
+
+template<>
+struct Fields<TargetUpdate>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.target_, aValue.boot_, aValue.state_, aValue.held_); }
+};
+
+template<>
+struct Fields<CrashUpdate>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.fingerprint_, aValue.state_, aValue.age_); }
+};
+
+template<>
+struct Fields<VersionUpdate>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.object_, aValue.version_, aValue.holder_); }
+};
+
+template<>
+struct Fields<Rumours>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.updates_); }
+};
+
 } // namespace ibisrock::wire
 
 namespace msgpack {
@@ -181,6 +228,46 @@
     }
   };
 
+  /// A variant travels as an array of the position of its alternative and the value.
+  template<typename... Types>
+  struct pack<std::variant<Types...>>
+  {
+    template<typename Stream>
+    packer<Stream>& operator()(packer<Stream>& aPacker, const std::variant<Types...>& aValue) const
+    {
+      aPacker.pack_array(2);
+      aPacker.pack(static_cast<uint8_t>(aValue.index()));
+      std::visit([&aPacker](const auto& aAlternative) { aPacker.pack(aAlternative); }, aValue);
+      return aPacker;
+    }
+  };
+
+  template<typename... Types>
+  struct convert<std::variant<Types...>>
+  {
+    using Decoder = std::variant<Types...> (*)(const msgpack::object&);
+
+    template<typename T>
+    static std::variant<Types...> DecodeAs(const msgpack::object& aObject)
+    {
+      return aObject.as<T>();
+    }
+
+    const msgpack::object& operator()(const msgpack::object& aObject, std::variant<Types...>& aValue) const
+    {
+      static constexpr std::array<Decoder, sizeof...(Types)> kDecoders = { &DecodeAs<Types>... };
+      if (aObject.type != msgpack::type::ARRAY || aObject.via.array.size != 2) {
+        throw msgpack::type_error();
+      }
+      const auto index = aObject.via.array.ptr[0].as<uint8_t>();
+      if (index >= kDecoders.size()) {
+        throw msgpack::type_error();
+      }
+      aValue = kDecoders[index](aObject.via.array.ptr[1]);
+      return aObject;
+    }
+  };
+
   template<ibisrock::wire::WireEnum T>
   struct convert<T>
   {
