--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -50,6 +50,7 @@
   , targets_(timers_, random_)
   , shape_(aShape)
   , instances_(aShape.instances_)
+  , starts_(aShape.instances_)
 {
   for (unsigned shard = 0; shard < shape_.shards_; shard++) {
     for (unsigned replica = 0; replica < shape_.replicas_; replica++) {
@@ -113,17 +114,26 @@
 {
   const ListedInstance listed = Listed(aIndex);
   auto running = std::make_unique<Running>();
+  running->gate_ = std::make_shared<ProcessGate>();
   running->transport_ = std::make_unique<FakeTransport>(network_, listed.address_);
+  running->timers_ = std::make_unique<GatedTimers>(timers_, running->gate_);
+  running->targets_ = std::make_unique<GatedTargets>(targets_, running->gate_);
+  running->store_ = std::make_unique<GatedStore>(store_, running->gate_);
   const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(++lastIncarnation_) };
   LastReason reason;
-  auto instance = Instance::Create(self, { timers_, random_, *running->transport_, targets_, store_, list_ }, reason);
+  const Environment environment{ *running->timers_,  random_,          *running->transport_,
+                                 *running->targets_, *running->store_, list_ };
+  auto instance = Instance::Create(self, environment, reason);
   if (!instance) {
     throw std::runtime_error(reason.Text());
   }
   running->instance_ = std::move(*instance);
-  network_.Attach(listed.address_, [raw = running->instance_.get()](std::string_view aBytes) { raw->Receive(aBytes); });
+  network_.Attach(listed.address_, [raw = running->instance_.get(), gate = running->gate_](std::string_view aBytes) {
+    gate->Pass([raw, bytes = std::string(aBytes)] { raw->Receive(bytes); });
+  });
   running->instance_->Start();
   instances_[aIndex] = std::move(running);
+  starts_[aIndex]++;
 }
 
 void
@@ -160,6 +170,7 @@
 FakeCluster::Kill(size_t aIndex)
 {
   network_.Detach(AddressOf(aIndex));
+  instances_.at(aIndex)->gate_->Kill();
   ended_.push_back(std::move(instances_.at(aIndex)));
 }
 
@@ -169,6 +180,18 @@
   Launch(aIndex);
 }
 
+void
+FakeCluster::Freeze(size_t aIndex)
+{
+  instances_.at(aIndex)->gate_->Freeze();
+}
+
+void
+FakeCluster::Thaw(size_t aIndex)
+{
+  instances_.at(aIndex)->gate_->Thaw();
+}
+
 Answer
 FakeCluster::Ask(size_t aIndex, Query aQuery)
 {
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -4,6 +4,7 @@
 #include "fakes/fake_network.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_targets.h"
+#include "fakes/process_gate.h"
 #include "process/instance.h"
 
 #include <memory>
@@ -58,11 +59,18 @@
   void Kill(size_t aIndex);
   /// Starts a new instance with the same id and a later incarnation.
   void Restart(size_t aIndex);
+  /// Stops an instance as SIGSTOP does: nothing reaches it and it does nothing until Thaw.
+  void Freeze(size_t aIndex);
+  void Thaw(size_t aIndex);
   /// Runs one query on an instance and advances time until it is answered.
   Answer Ask(size_t aIndex, Query aQuery);
 
   Instance& At(size_t aIndex) { return *instances_.at(aIndex)->instance_; }
   bool IsRunning(size_t aIndex) const { return instances_.at(aIndex) != nullptr; }
+  size_t Size() const { return instances_.size(); }
+  const ClusterShape& Shape() const { return shape_; }
+  /// Counts the starts at this index, so that a caller can tell whether the instance it asked is still there.
+  uint64_t StartsAt(size_t aIndex) const { return starts_.at(aIndex); }
   PeerAddress AddressOf(size_t aIndex) const;
   std::string SheetText() const;
   static TargetName TargetOf(unsigned aShard, unsigned aReplica);
@@ -78,7 +86,11 @@
 private:
   struct Running
   {
+    std::shared_ptr<ProcessGate> gate_;
     std::unique_ptr<FakeTransport> transport_;
+    std::unique_ptr<GatedTimers> timers_;
+    std::unique_ptr<GatedTargets> targets_;
+    std::unique_ptr<GatedStore> store_;
     std::unique_ptr<Instance> instance_;
   };
 
@@ -89,6 +101,7 @@
   std::vector<std::unique_ptr<Running>> instances_;
   /// Ended instances. They are kept because timers may still refer to them.
   std::vector<std::unique_ptr<Running>> ended_;
+  std::vector<uint64_t> starts_;
   uint64_t lastIncarnation_ = 0;
 };
 
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -117,6 +117,13 @@
   return true;
 }
 
+ConfigVersion
+Instance::ConfigInForce() const
+{
+  auto configuration = config_.Current();
+  return configuration ? configuration->version_ : ConfigVersion();
+}
+
 std::string
 Instance::DumpState() const
 {
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -39,6 +39,8 @@
   bool IsIdle() const;
   /// True when callers may be sent here. Otherwise aReason says why not.
   bool IsReady(LastReason& aReason) const;
+  /// Version of the configuration in force; none before the first.
+  ConfigVersion ConfigInForce() const;
   /// State of every part as JSON.
   std::string DumpState() const;
 
