--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -192,11 +192,20 @@
   instances_.at(aIndex)->gate_->Thaw();
 }
 
+void
+FakeCluster::Submit(size_t aIndex, Query aQuery, AnswerCallback aCallback)
+{
+  Running& running = *instances_.at(aIndex);
+  running.gate_->Pass([raw = running.instance_.get(), query = std::move(aQuery), callback = std::move(aCallback)] {
+    raw->Submit(query, callback);
+  });
+}
+
 Answer
 FakeCluster::Ask(size_t aIndex, Query aQuery)
 {
   std::optional<Answer> answer;
-  At(aIndex).Submit(std::move(aQuery), [&answer](Answer aAnswer) { answer = std::move(aAnswer); });
+  Submit(aIndex, std::move(aQuery), [&answer](Answer aAnswer) { answer = std::move(aAnswer); });
   while (!answer) {
     if (!timers_.RunNext()) {
       throw std::runtime_error("a query was never answered");
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -42,6 +42,11 @@
   Millis softDeadline_{ 200 };
   unsigned queriesPerSecond_ = 100000;
   unsigned concurrent_ = 10000;
+  struct
+  {
+    bool hedges_ = true;
+    bool randomReplica_ = false;
+  } tuning_;
 };
 
 /// Name of the one service of a FakeCluster.
@@ -62,6 +67,8 @@
   /// Stops an instance as SIGSTOP does: nothing reaches it and it does nothing until Thaw.
   void Freeze(size_t aIndex);
   void Thaw(size_t aIndex);
+  /// Gives a query to an instance; a frozen one takes it when it is thawed.
+  void Submit(size_t aIndex, Query aQuery, AnswerCallback aCallback);
   /// Runs one query on an instance and advances time until it is answered.
   Answer Ask(size_t aIndex, Query aQuery);
 
