--- /dev/null
+++ b/src/version/key_record.cpp
@@ -0,0 +1,142 @@
+#include "version/key_record.h"
+
+#include "base/hashing.h"
+#include "base/object_store.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace ibisrock {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kStateTexts[] = { "claimed", "released", "done" };
+constexpr const char* kVerdictTexts[] = { "ran", "not-run", "may-have-run" };
+
+/// Position of a text in a table of texts. Throws for an unknown one, as the JSON library does for a missing field.
+template<typename Enum, size_t Size>
+Enum
+FromText(const char* const (&aTexts)[Size], const std::string& aText)
+{
+  for (size_t index = 0; index < Size; index++) {
+    if (aText == aTexts[index]) {
+      return static_cast<Enum>(index);
+    }
+  }
+  throw std::invalid_argument("unknown value \"" + aText + "\"");
+}
+
+json
+EncodeAnswerValue(const Answer& aAnswer)
+{
+  json covered = json::array();
+  for (const ShardName& shard : aAnswer.covered_) {
+    covered.push_back(shard.Value());
+  }
+  json missing = json::object();
+  for (const auto& [shard, reason] : aAnswer.missing_) {
+    missing[shard.Value()] = ToString(reason);
+  }
+  json matches = json::array();
+  for (const Match& match : aAnswer.matches_) {
+    matches.push_back({ match.id_, match.text_ });
+  }
+  return { { "request",
+             { aAnswer.request_.origin_.Value(), aAnswer.request_.incarnation_.Value(), aAnswer.request_.sequence_ } },
+           { "verdict", ToString(aAnswer.verdict_) },
+           { "reason", ToString(aAnswer.reason_) },
+           { "index_version", aAnswer.version_.Value() },
+           { "config_version", aAnswer.config_.Value() },
+           { "covered", covered },
+           { "missing", missing },
+           { "matches", matches },
+           { "attempts", aAnswer.attempts_ } };
+}
+
+Answer
+DecodeAnswerValue(const json& aValue)
+{
+  Answer answer;
+  const json& request = aValue.at("request");
+  answer.request_ = { InstanceId(request.at(0).get<std::string>()),
+                      Incarnation(request.at(1).get<uint64_t>()),
+                      request.at(2).get<uint64_t>() };
+  answer.verdict_ = FromText<Verdict>(kVerdictTexts, aValue.at("verdict").get<std::string>());
+  answer.reason_ = ReasonFromString(aValue.at("reason").get<std::string>());
+  answer.version_ = IndexVersion(aValue.at("index_version").get<uint64_t>());
+  answer.config_ = ConfigVersion(aValue.at("config_version").get<uint64_t>());
+  for (const json& shard : aValue.at("covered")) {
+    answer.covered_.emplace(shard.get<std::string>());
+  }
+  for (const auto& [shard, reason] : aValue.at("missing").items()) {
+    answer.missing_[ShardName(shard)] = ReasonFromString(reason.get<std::string>());
+  }
+  for (const json& match : aValue.at("matches")) {
+    answer.matches_.push_back({ match.at(0).get<std::string>(), match.at(1).get<std::string>() });
+  }
+  answer.attempts_ = aValue.at("attempts").get<uint32_t>();
+  return answer;
+}
+
+json
+EncodeWithoutAnswer(const KeyRecord& aRecord)
+{
+  return { { "caller", aRecord.caller_.Value() },
+           { "key", aRecord.key_.Value() },
+           { "fingerprint", aRecord.fingerprint_.Value() },
+           { "claim", aRecord.claim_ },
+           { "state", kStateTexts[static_cast<size_t>(aRecord.state_)] } };
+}
+
+/// Text of a JSON value. Bytes that are not UTF-8 are replaced, because callers may send any bytes.
+std::string
+Dump(const json& aValue)
+{
+  return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string
+KeyRecordObject(const ServiceName& aService, const CallerName& aCaller, const IdempotencyKey& aKey)
+{
+  // The length keeps two pairs of caller and key with the same joined text apart.
+  const std::string joined = std::to_string(aCaller.Value().size()) + ":" + aCaller.Value() + aKey.Value();
+  return "idem/" + aService.Value() + "/" + ContentHash(joined);
+}
+
+std::string
+EncodeKeyRecord(const KeyRecord& aRecord)
+{
+  json value = EncodeWithoutAnswer(aRecord);
+  if (aRecord.answer_) {
+    value["answer"] = EncodeAnswerValue(*aRecord.answer_);
+  }
+  std::string text = Dump(value);
+  return text.size() <= kMaxStoredValueBytes ? text : Dump(EncodeWithoutAnswer(aRecord));
+}
+
+std::optional<KeyRecord>
+DecodeKeyRecord(const std::string& aText, LastReason& aReason)
+{
+  try {
+    const json value = json::parse(aText);
+    KeyRecord record;
+    record.caller_ = CallerName(value.at("caller").get<std::string>());
+    record.key_ = IdempotencyKey(value.at("key").get<std::string>());
+    record.fingerprint_ = Fingerprint(value.at("fingerprint").get<uint64_t>());
+    record.claim_ = value.at("claim").get<std::string>();
+    record.state_ = FromText<KeyState>(kStateTexts, value.at("state").get<std::string>());
+    if (value.contains("answer")) {
+      record.answer_ = DecodeAnswerValue(value.at("answer"));
+    }
+    return record;
+  } catch (const std::exception& error) {
+    aReason.Set(std::string("idempotency record is malformed: ") + error.what());
+    return std::nullopt;
+  }
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/version/key_record.h
@@ -0,0 +1,48 @@
+#ifndef IBISROCK_VERSION_KEY_RECORD_H
+#define IBISROCK_VERSION_KEY_RECORD_H
+
+#include "base/last_reason.h"
+#include "request/query.h"
+
+#include <optional>
+#include <string>
+
+namespace ibisrock {
+
+enum class KeyState : uint8_t
+{
+  /// One request holds the key; it may have run.
+  Claimed,
+  /// The holder proved that it did not run; the next request may claim the key.
+  Released,
+  /// The outcome is recorded.
+  Done,
+};
+
+/// The stored record of one idempotency key.
+struct KeyRecord
+{
+  CallerName caller_;
+  IdempotencyKey key_;
+  Fingerprint fingerprint_;
+  /// Request that holds or held the key.
+  std::string claim_;
+  KeyState state_ = KeyState::Claimed;
+  /// Present when state_ is Done and the answer fits into a stored value.
+  std::optional<Answer> answer_;
+};
+
+/// Key of the object that holds the record. Caller and key are hashed, because they may hold any characters.
+std::string
+KeyRecordObject(const ServiceName& aService, const CallerName& aCaller, const IdempotencyKey& aKey);
+
+/// Stored form as JSON. Leaves the answer out when the text would not fit into a stored value.
+std::string
+EncodeKeyRecord(const KeyRecord& aRecord);
+
+std::optional<KeyRecord>
+DecodeKeyRecord(const std::string& aText, LastReason& aReason);
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/tests/idempotency_test.cpp
@@ -0,0 +1,158 @@
+#include "fakes/fake_store.h"
+#include "process/idempotency.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisrock {
+namespace {
+
+using fakes::FakeStore;
+using fakes::StoreFaults;
+
+/// A keeper as two instances have it, over one store.
+class IdempotencyTest : public testing::Test
+{
+protected:
+  static Query MakeQuery(const std::string& aBody)
+  {
+    Query query;
+    query.service_ = ServiceName("bestelbalie");
+    query.caller_ = CallerName("desk/1");
+    query.body_ = aBody;
+    query.idempotent_ = false;
+    query.key_ = IdempotencyKey("order 418");
+    return query;
+  }
+
+  static Answer MakeAnswer(Verdict aVerdict)
+  {
+    Answer answer;
+    answer.verdict_ = aVerdict;
+    answer.covered_ = { ShardName("s0") };
+    answer.matches_ = { { "a", "text" } };
+    return answer;
+  }
+
+  KeyDecision Claim(IdempotencyKeeper& aKeeper, uint64_t aSequence, const std::string& aBody = "book")
+  {
+    std::optional<KeyDecision> decision;
+    aKeeper.Claim(MakeQuery(aBody),
+                  { InstanceId("entry"), Incarnation(1), aSequence },
+                  [&decision](KeyDecision aDecision) { decision = std::move(aDecision); });
+    timers_.Advance(Seconds(1));
+    return *decision;
+  }
+
+  ManualTimerService timers_;
+  FakeStore store_{ timers_ };
+  IdempotencyKeeper first_{ timers_, store_ };
+  IdempotencyKeeper second_{ timers_, store_ };
+};
+
+// Guards against a second run while the first holder is paused or its outcome is unknown.
+TEST_F(IdempotencyTest, HeldKeyIsNeverTakenOver)
+{
+  ASSERT_TRUE(Claim(first_, 1).claim_);
+  timers_.Advance(Seconds(86400));
+  const KeyDecision decision = Claim(second_, 2);
+  ASSERT_TRUE(decision.answer_);
+  EXPECT_EQ(decision.answer_->verdict_, Verdict::MayHaveRun);
+  EXPECT_EQ(decision.answer_->reason_, Reason::KeyInProgress);
+}
+
+// Guards against running a finished operation again instead of replaying its answer.
+TEST_F(IdempotencyTest, FinishedKeyIsReplayed)
+{
+  const KeyDecision held = Claim(first_, 1);
+  first_.Finish(*held.claim_, MakeAnswer(Verdict::Ran));
+  timers_.Advance(Seconds(1));
+  const KeyDecision decision = Claim(second_, 2);
+  ASSERT_TRUE(decision.answer_);
+  EXPECT_EQ(decision.answer_->verdict_, Verdict::Ran);
+  EXPECT_EQ(decision.answer_->matches_.size(), 1U);
+  EXPECT_EQ(first_.Unrecorded(), 0U);
+}
+
+// Guards against a key that stays blocked although its request was proven not to have run.
+TEST_F(IdempotencyTest, ReleasedKeyCanBeClaimedByOneOnly)
+{
+  const KeyDecision held = Claim(first_, 1);
+  first_.Finish(*held.claim_, MakeAnswer(Verdict::NotRun));
+  timers_.Advance(Seconds(1));
+  EXPECT_TRUE(Claim(second_, 2).claim_);
+  EXPECT_FALSE(Claim(first_, 3).claim_);
+}
+
+// Guards against merging two operations that use one key.
+TEST_F(IdempotencyTest, OtherBodyUnderTheSameKeyIsAConflict)
+{
+  ASSERT_TRUE(Claim(first_, 1).claim_);
+  const KeyDecision decision = Claim(second_, 2, "cancel");
+  ASSERT_TRUE(decision.answer_);
+  EXPECT_EQ(decision.answer_->verdict_, Verdict::NotRun);
+  EXPECT_EQ(decision.answer_->reason_, Reason::KeyConflict);
+}
+
+struct StoreFaultCase
+{
+  const char* name_;
+  StoreFaults faults_;
+  bool claimed_;
+};
+
+class ClaimUnderStoreFault
+  : public IdempotencyTest
+  , public testing::WithParamInterface<StoreFaultCase>
+{};
+
+// Guards against a guess when the store is down, and against a claim that is lost with the store's answer.
+TEST_P(ClaimUnderStoreFault, IsResolvedOrRefused)
+{
+  store_.SetFaults(GetParam().faults_);
+  const KeyDecision decision = Claim(first_, 1);
+  EXPECT_EQ(decision.claim_.has_value(), GetParam().claimed_);
+  if (!decision.claim_) {
+    EXPECT_EQ(decision.answer_->verdict_, Verdict::NotRun);
+    EXPECT_EQ(decision.answer_->reason_, Reason::StoreUnavailable);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         ClaimUnderStoreFault,
+                         testing::Values(StoreFaultCase{ "Outage", { .outage_ = true }, false },
+                                         StoreFaultCase{ "LostAnswer", { .lostAnswers_ = 1 }, true }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+// Guards against an outcome that is forgotten because the store was down when the request ended.
+TEST_F(IdempotencyTest, OutcomeIsRecordedAfterAnOutage)
+{
+  const KeyDecision held = Claim(first_, 1);
+  store_.SetFaults({ .outage_ = true });
+  first_.Finish(*held.claim_, MakeAnswer(Verdict::Ran));
+  timers_.Advance(Seconds(20));
+  EXPECT_EQ(first_.Unrecorded(), 1U);
+  store_.SetFaults({});
+  timers_.Advance(Seconds(20));
+  EXPECT_EQ(first_.Unrecorded(), 0U);
+  EXPECT_TRUE(Claim(second_, 2).answer_);
+}
+
+// Guards against keyed requests that use up the store's write rate.
+TEST_F(IdempotencyTest, WritesStayWithinTheirRate)
+{
+  first_.SetWriteRate(PerSecond{ 4 });
+  unsigned claimed = 0;
+  for (uint64_t sequence = 1; sequence <= 100; sequence++) {
+    Query query = MakeQuery("book");
+    query.key_ = IdempotencyKey(std::to_string(sequence));
+    first_.Claim(query, { InstanceId("entry"), Incarnation(1), sequence }, [&claimed](const KeyDecision& aDecision) {
+      claimed += aDecision.claim_ ? 1 : 0;
+    });
+    timers_.Advance(Millis(100));
+  }
+  EXPECT_LE(claimed, 22U);
+  EXPECT_GE(claimed, 18U);
+}
+
+} // namespace
+} // namespace ibisrock
