--- a/experiment/trial.cpp
+++ b/experiment/trial.cpp
@@ -107,11 +107,19 @@
   cluster_.targets_.Set(aName, target);
 }
 
+Micros
+Trial::NextGap()
+{
+  if (settings_.evenArrivals_) {
+    return Micros(arrivals_.Below(static_cast<uint32_t>(2 * meanGapMicros_) + 1));
+  }
+  return Micros(static_cast<int64_t>(-std::log(1.0 - arrivals_.Unit()) * meanGapMicros_));
+}
+
 void
 Trial::ScheduleNext()
 {
-  const double gap = -std::log(1.0 - arrivals_.Unit()) * meanGapMicros_;
-  cluster_.timers_.After(Micros(static_cast<int64_t>(gap)), [this] {
+  cluster_.timers_.After(NextGap(), [this] {
     if (cluster_.timers_.Now() < end_) {
       SendNext();
       ScheduleNext();
--- a/experiment/trial.h
+++ b/experiment/trial.h
@@ -35,6 +35,8 @@
   uint64_t seed_ = 1;
   /// Share of queries that are non-idempotent and carry a key, so that callers may resend them.
   double keyedShare_ = 0.02;
+  /// Uniform gaps between arrivals in place of exponential ones: integer arithmetic only, so equal on every machine.
+  bool evenArrivals_ = false;
 };
 
 /// What one trial measured. Latency runs from the intended start of a query.
@@ -81,6 +83,7 @@
 
 private:
   void SetTargets();
+  Micros NextGap();
   void ScheduleNext();
   void SendNext();
   void Resend(const Query& aQuery, unsigned aTry);
