--- /dev/null
+++ b/src/process/replica_selector.cpp
@@ -0,0 +1,147 @@
+#include "process/replica_selector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibisrock {
+
+namespace {
+
+/// Weight of the newest latency in the moving average.
+constexpr double kWeight = 0.1;
+/// An observation loses its effect with this time constant, so that a replica that is avoided is tried again.
+constexpr double kMemorySeconds = 1.0;
+constexpr Micros kFirstBackOff = Millis(200);
+constexpr Micros kMaxBackOff = Seconds(10);
+/// Consecutive failures of an uncertain kind, such as time-outs, after which a replica is ejected.
+constexpr uint32_t kMaxUncertainFailures = 3;
+
+/// Failures that show at once that the replica cannot be reached.
+bool
+IsCertainFailure(Reason aReason)
+{
+  return aReason == Reason::ConnectFailed || aReason == Reason::ConnectionLost || aReason == Reason::OwnerUnreachable ||
+         aReason == Reason::Draining;
+}
+
+bool
+IsUncertainFailure(Reason aReason)
+{
+  return aReason == Reason::TimedOut || aReason == Reason::TargetError;
+}
+
+} // namespace
+
+/// Expected wait on the replica: lower is better. Needs the lock.
+double
+BalancedSelector::Score(const Replica& aReplica, TimePoint aNow)
+{
+  const double age = std::chrono::duration<double>(aNow - aReplica.observedAt_).count();
+  return (aReplica.latency_ * std::exp(-age / kMemorySeconds) + 1) * (aReplica.outstanding_ + 1);
+}
+
+/// The better of two random members of a list that is not empty. Needs the lock.
+const TargetName&
+BalancedSelector::Better(const std::vector<TargetName>& aFrom, TimePoint aNow)
+{
+  const auto count = static_cast<uint32_t>(aFrom.size());
+  const uint32_t first = random_.Below(count);
+  if (count == 1) {
+    return aFrom[first];
+  }
+  const uint32_t second = (first + 1 + random_.Below(count - 1)) % count;
+  return Score(replicas_[aFrom[second]], aNow) < Score(replicas_[aFrom[first]], aNow) ? aFrom[second] : aFrom[first];
+}
+
+std::optional<TargetName>
+BalancedSelector::Choose(const std::vector<TargetName>& aCandidates, AttemptKind aKind, bool aMayProbe, TimePoint aNow)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  std::lock_guard lock(mutex_);
+  std::vector<TargetName> usable;
+  for (const TargetName& candidate : aCandidates) {
+    Replica& replica = replicas_[candidate];
+    if (!replica.ejected_) {
+      usable.push_back(candidate);
+    } else if (aKind == AttemptKind::First && aMayProbe && !replica.probing_ && replica.probeAt_ <= aNow) {
+      replica.probing_ = true;
+      replica.outstanding_++;
+      return candidate;
+    }
+  }
+  if (usable.empty() && aKind == AttemptKind::Hedge) {
+    return std::nullopt;
+  }
+  const TargetName chosen = Better(usable.empty() ? aCandidates : usable, aNow);
+  replicas_[chosen].outstanding_++;
+  return chosen;
+}
+
+/// Needs the lock.
+void
+BalancedSelector::Observe(Replica& aReplica, const AttemptOutcome& aOutcome, TimePoint aNow)
+{
+  const auto latency = static_cast<double>(aOutcome.elapsed_.count());
+  // The time until a cancellation is a lower bound, which says nothing when it is below the average.
+  if (aOutcome.verdict_ != Verdict::Ran && latency <= aReplica.latency_) {
+    return;
+  }
+  aReplica.latency_ = aReplica.latency_ == 0 ? latency : (1 - kWeight) * aReplica.latency_ + kWeight * latency;
+  aReplica.observedAt_ = aNow;
+}
+
+/// Needs the lock.
+void
+BalancedSelector::Fail(Replica& aReplica, bool aCertain, TimePoint aNow)
+{
+  // Attempts that were under way when the replica was ejected do not raise its back-off again.
+  if (aReplica.ejected_ && !aReplica.probing_) {
+    return;
+  }
+  aReplica.failures_++;
+  if (!aCertain && !aReplica.ejected_ && aReplica.failures_ < kMaxUncertainFailures) {
+    return;
+  }
+  const uint32_t doublings = std::min<uint32_t>(aReplica.failures_ - 1, 16);
+  aReplica.ejected_ = true;
+  aReplica.probing_ = false;
+  aReplica.probeAt_ = aNow + std::min<Micros>(kFirstBackOff * (1U << doublings), kMaxBackOff);
+}
+
+void
+BalancedSelector::OnEnd(const TargetName& aTarget, const AttemptOutcome& aOutcome, TimePoint aNow)
+{
+  std::lock_guard lock(mutex_);
+  Replica& replica = replicas_[aTarget];
+  replica.outstanding_ -= std::min(replica.outstanding_, 1U);
+  if (aOutcome.verdict_ == Verdict::Ran) {
+    replica.failures_ = 0;
+    replica.ejected_ = false;
+    replica.probing_ = false;
+    Observe(replica, aOutcome, aNow);
+  } else if (IsCertainFailure(aOutcome.reason_) || IsUncertainFailure(aOutcome.reason_)) {
+    Fail(replica, IsCertainFailure(aOutcome.reason_), aNow);
+  } else {
+    // A refusal or a cancelled probe proves nothing; the next attempt may probe again.
+    replica.probing_ = false;
+    if (aOutcome.reason_ == Reason::Cancelled) {
+      Observe(replica, aOutcome, aNow);
+    }
+  }
+}
+
+std::optional<TargetName>
+RandomSelector::Choose(const std::vector<TargetName>& aCandidates,
+                       AttemptKind /*aKind*/,
+                       bool /*aMayProbe*/,
+                       TimePoint /*aNow*/)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  return aCandidates[random_.Below(static_cast<uint32_t>(aCandidates.size()))];
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/process/service_table.cpp
@@ -0,0 +1,36 @@
+#include "process/service_table.h"
+
+namespace ibisrock {
+
+namespace {
+
+std::unique_ptr<ReplicaSelector>
+MakeSelector(const RunTuning& aTuning, Random& aRandom)
+{
+  if (aTuning.randomReplica_) {
+    return std::make_unique<RandomSelector>(aRandom);
+  }
+  return std::make_unique<BalancedSelector>(aRandom);
+}
+
+} // namespace
+
+ServiceState::ServiceState(const RunTuning& aTuning, Random& aRandom)
+  : latency_(aTuning.hedgeQuantile_)
+  , selector_(MakeSelector(aTuning, aRandom))
+{
+}
+
+ServiceState&
+ServiceTable::Get(const ServiceName& aService)
+{
+  Shard& shard = shards_[std::hash<ServiceName>()(aService) % kShardCount];
+  std::lock_guard lock(shard.mutex_);
+  std::unique_ptr<ServiceState>& state = shard.states_[aService];
+  if (!state) {
+    state = std::make_unique<ServiceState>(tuning_, random_);
+  }
+  return *state;
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/process/service_table.h
@@ -0,0 +1,65 @@
+#ifndef IBISROCK_PROCESS_SERVICE_TABLE_H
+#define IBISROCK_PROCESS_SERVICE_TABLE_H
+
+#include "process/extra_attempt_budget.h"
+#include "process/latency_tracker.h"
+#include "process/replica_selector.h"
+#include "request/run_counters.h"
+
+#include <array>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace ibisrock {
+
+/// Choices that comparisons vary. The defaults are those in service.
+struct RunTuning
+{
+  bool hedges_ = true;
+  /// Replicas are chosen at random instead of by load.
+  bool randomReplica_ = false;
+  double hedgeQuantile_ = LatencyTracker::kDefaultQuantile;
+};
+
+/// What the runs of one service share for the life of the process.
+struct ServiceState
+{
+  ServiceState(const RunTuning& aTuning, Random& aRandom);
+
+  LatencyTracker latency_;
+  ExtraAttemptBudget budget_;
+  std::unique_ptr<ReplicaSelector> selector_;
+  RunCounters counters_;
+};
+
+/// The state of every service that was queried here. Thread-safe.
+class ServiceTable
+{
+public:
+  ServiceTable(RunTuning aTuning, Random& aRandom)
+    : tuning_(aTuning)
+    , random_(aRandom)
+  {
+  }
+
+  /// The state of a service, made at the first use and kept as long as the table.
+  ServiceState& Get(const ServiceName& aService);
+  const RunTuning& Tuning() const { return tuning_; }
+
+private:
+  struct Shard
+  {
+    std::mutex mutex_;
+    std::unordered_map<ServiceName, std::unique_ptr<ServiceState>> states_;
+  };
+  static constexpr size_t kShardCount = 16;
+
+  const RunTuning tuning_;
+  Random& random_;
+  std::array<Shard, kShardCount> shards_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/request/run_counters.h
@@ -0,0 +1,22 @@
+#ifndef IBISROCK_REQUEST_RUN_COUNTERS_H
+#define IBISROCK_REQUEST_RUN_COUNTERS_H
+
+#include <atomic>
+#include <cstdint>
+
+namespace ibisrock {
+
+/// Totals over the runs of one service since the process started.
+struct RunCounters
+{
+  /// Every attempt, with hedges, retries and the attempts of restarts.
+  std::atomic<uint64_t> attempts_{ 0 };
+  std::atomic<uint64_t> hedges_{ 0 };
+  std::atomic<uint64_t> retries_{ 0 };
+  std::atomic<uint64_t> cancelled_{ 0 };
+  std::atomic<uint64_t> restarts_{ 0 };
+};
+
+} // namespace ibisrock
+
+#endif
