Decide hedges, retries and restarts in the query run

Cause: a run sent one attempt per shard and retried without a bound. It had no hedge, no restart with another version and no canary.

Change: QueryRun hedges idempotent queries after the tracked quantile, cancels losing attempts, draws retries and hedges on the service's budget, restarts with another version at most twice, runs a canary first when asked to, and starts nothing after a second connection loss. VersionSource and CrashObserver are the interfaces to the parts behind it.

--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -116,7 +116,8 @@
   running->transport_ = std::make_unique<FakeTransport>(network_, listed.address_);
   const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(++lastIncarnation_) };
   LastReason reason;
-  auto instance = Instance::Create(self, { timers_, random_, *running->transport_, targets_, store_, list_ }, reason);
+  auto instance =
+    Instance::Create(self, { timers_, random_, *running->transport_, targets_, store_, list_ }, reason, shape_.tuning_);
   if (!instance) {
     throw std::runtime_error(reason.Text());
   }
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -41,6 +41,7 @@
   Millis softDeadline_{ 200 };
   unsigned queriesPerSecond_ = 100000;
   unsigned concurrent_ = 10000;
+  RunTuning tuning_;
 };
 
 /// Name of the one service of a FakeCluster.
--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fake_targets.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -38,6 +39,16 @@
   return reply;
 }
 
+Micros
+DrawServiceTime(const FakeTarget& aTarget, Random& aRandom)
+{
+  if (aTarget.spread_ == 0) {
+    return aTarget.serviceTime_;
+  }
+  const double factor = 1 - aTarget.spread_ - aTarget.spread_ * std::log(1 - aRandom.Unit());
+  return Micros(static_cast<Micros::rep>(factor * static_cast<double>(aTarget.serviceTime_.count())));
+}
+
 } // namespace
 
 void
@@ -110,7 +121,7 @@
       runs_.push_back({ aAttempt.target_, aAttempt.shard_, aAttempt.id_, aAttempt.body_, timers_.Now() });
       crash = !target.crashBody_.empty() && target.crashBody_ == aAttempt.body_;
       const bool slow = random_.Unit() < target.slowShare_;
-      const Micros work = target.serviceTime_ * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
+      const Micros work = DrawServiceTime(target, random_) * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
       const Micros held = std::min(work, aAttempt.budget_);
       const TimerId timer =
         timers_.After(held, [this, attempt = aAttempt, left = aAttempt.budget_ - work] { Finish(attempt, left); });
--- a/src/fakes/fake_targets.h
+++ b/src/fakes/fake_targets.h
@@ -18,6 +18,8 @@
 {
   unsigned slots_ = 2;
   Micros serviceTime_ = Millis(2);
+  /// Share of serviceTime_ that varies from request to request with an exponential distribution.
+  double spread_ = 0;
   /// Share of requests that take slowFactor_ times as long.
   double slowShare_ = 0;
   unsigned slowFactor_ = 10;
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -21,11 +21,13 @@
 Coordinator::Coordinator(InstanceIdentity aSelf,
                          Environment aEnvironment,
                          const ConfigKeeper& aConfig,
-                         AttemptSender& aSender)
+                         AttemptSender& aSender,
+                         const RunTuning& aTuning)
   : self_(std::move(aSelf))
   , environment_(aEnvironment)
   , config_(aConfig)
   , sender_(aSender)
+  , services_(aTuning, aEnvironment.random_)
 {
 }
 
@@ -43,14 +45,20 @@
     aCallback(Refusal(id, Reason::UnknownService));
     return;
   }
+  auto shards = versions_.Choose(*service->second, {});
+  if (!shards) {
+    aCallback(Refusal(id, Reason::VersionNotHeld));
+    return;
+  }
   inFlight_++;
-  RunPlan plan{ id, std::move(aQuery), service->second, configuration->version_, service->second->shardMap_ };
-  auto run = QueryRun::Create(std::move(plan),
-                              { environment_.timers_, environment_.random_, sender_ },
-                              [this, callback = std::move(aCallback)](Answer aAnswer) {
-                                callback(std::move(aAnswer));
-                                inFlight_--;
-                              });
+  RunPlan plan{ id, std::move(aQuery), service->second, configuration->version_, std::move(*shards) };
+  const RunEnvironment environment{
+    environment_.timers_, sender_, services_.Get(service->first), versions_, crashes_, services_.Tuning().hedges_
+  };
+  auto run = QueryRun::Create(std::move(plan), environment, [this, callback = std::move(aCallback)](Answer aAnswer) {
+    callback(std::move(aAnswer));
+    inFlight_--;
+  });
   run->Start();
 }
 
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -3,6 +3,7 @@
 
 #include "process/config_keeper.h"
 #include "process/environment.h"
+#include "process/service_table.h"
 #include "request/query_run.h"
 
 #include <atomic>
@@ -13,18 +14,27 @@
 class Coordinator
 {
 public:
-  Coordinator(InstanceIdentity aSelf, Environment aEnvironment, const ConfigKeeper& aConfig, AttemptSender& aSender);
+  Coordinator(InstanceIdentity aSelf,
+              Environment aEnvironment,
+              const ConfigKeeper& aConfig,
+              AttemptSender& aSender,
+              const RunTuning& aTuning);
 
   /// Answers or refuses the query. aCallback is called exactly once, at the latest shortly after the deadline.
   void Submit(Query aQuery, AnswerCallback aCallback);
   /// Queries that have not been answered yet.
   uint64_t InFlight() const { return inFlight_.load(); }
+  /// What the runs of each service share, with their counters.
+  ServiceTable& Services() { return services_; }
 
 private:
   const InstanceIdentity self_;
   Environment environment_;
   const ConfigKeeper& config_;
   AttemptSender& sender_;
+  ServiceTable services_;
+  SheetVersionSource versions_;
+  NullCrashObserver crashes_;
   std::atomic<uint64_t> lastSequence_{ 0 };
   std::atomic<uint64_t> inFlight_{ 0 };
 };
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -22,16 +22,16 @@
 } // namespace
 
 std::optional<std::unique_ptr<Instance>>
-Instance::Create(InstanceIdentity aSelf, Environment aEnvironment, LastReason& aReason)
+Instance::Create(InstanceIdentity aSelf, Environment aEnvironment, LastReason& aReason, const RunTuning& aTuning)
 {
   if (aSelf.id_.IsEmpty() || aSelf.address_.IsEmpty()) {
     aReason.Set("an instance needs an id and an address");
     return std::nullopt;
   }
-  return std::unique_ptr<Instance>(new Instance(std::move(aSelf), aEnvironment));
+  return std::unique_ptr<Instance>(new Instance(std::move(aSelf), aEnvironment, aTuning));
 }
 
-Instance::Instance(InstanceIdentity aSelf, Environment aEnvironment)
+Instance::Instance(InstanceIdentity aSelf, Environment aEnvironment, const RunTuning& aTuning)
   : self_(std::move(aSelf))
   , environment_(aEnvironment)
   , membership_(self_, environment_)
@@ -47,7 +47,7 @@
             config_,
             dispatchers_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
-  , coordinator_(self_, environment_, config_, router_)
+  , coordinator_(self_, environment_, config_, router_, aTuning)
 {
 }
 
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -25,7 +25,8 @@
   /// Returns no value when the identity has no id or no address.
   static std::optional<std::unique_ptr<Instance>> Create(InstanceIdentity aSelf,
                                                          Environment aEnvironment,
-                                                         LastReason& aReason);
+                                                         LastReason& aReason,
+                                                         const RunTuning& aTuning = {});
 
   /// Begins to read the configuration and the instance list.
   void Start();
@@ -39,11 +40,13 @@
   bool IsIdle() const;
   /// True when callers may be sent here. Otherwise aReason says why not.
   bool IsReady(LastReason& aReason) const;
+  /// What the runs of each service share, with their counters.
+  ServiceTable& Services() { return coordinator_.Services(); }
   /// State of every part as JSON.
   std::string DumpState() const;
 
 private:
-  Instance(InstanceIdentity aSelf, Environment aEnvironment);
+  Instance(InstanceIdentity aSelf, Environment aEnvironment, const RunTuning& aTuning);
 
   bool SendToPeerAddress(const PeerAddress& aPeer, wire::Body aBody);
 
--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -3,9 +3,24 @@
 #include "base/hashing.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace ibisrock {
 
+namespace {
+
+constexpr unsigned kMaxRestarts = 2;
+/// Connection losses after which a run starts no further attempts, because its query probably crashes targets. A canary
+/// that loses its connection is enough.
+constexpr size_t kMaxLosses = 2;
+/// Tokens that a hedge leaves in the budget unless its shard is long overdue. Without them, bursts of slightly slow
+/// shards empty the budget and stragglers wait unhedged.
+constexpr double kKeptTokens = 4;
+/// Age of a long overdue attempt, in hedge delays.
+constexpr double kOverdueFactor = 1.25;
+
+} // namespace
+
 std::shared_ptr<QueryRun>
 QueryRun::Create(RunPlan aPlan, RunEnvironment aEnvironment, AnswerCallback aCallback)
 {
@@ -16,9 +31,11 @@
   : plan_(std::move(aPlan))
   , environment_(aEnvironment)
   , callback_(std::move(aCallback))
+  , policy_(SelectCoveragePolicy(*plan_.service_, plan_.query_))
   , budget_(std::min(plan_.query_.deadline_.value_or(plan_.service_->deadline_), plan_.service_->deadline_))
   , deadline_(environment_.timers_.Now() + budget_)
   , fingerprint_(QueryFingerprint(plan_.query_.service_, plan_.query_.body_))
+  , canaryPending_(plan_.canaryFirst_)
 {
 }
 
@@ -28,46 +45,99 @@
   Actions actions;
   {
     std::lock_guard lock(mutex_);
+    const Micros soft = plan_.service_->softDeadline_;
+    hedgeDelay_ = environment_.service_.latency_.HedgeDelay(environment_.timers_.Now(), soft / 2);
     deadlineTimer_ = environment_.timers_.After(budget_, [self = shared_from_this()] { self->OnDeadline(); });
-    for (const auto& [shard, targets] : plan_.shards_.shards_) {
-      shards_.emplace(shard, ShardState{});
-      AddAttempt(shard, actions);
+    if (soft < budget_) {
+      softTimer_ = environment_.timers_.After(soft, [self = shared_from_this()] { self->OnSoftDeadline(); });
     }
+    StartRound(actions);
     CheckFinished(actions);
   }
   Perform(actions);
 }
 
+/// Starts the first attempts of every shard that has none; of one shard only while a canary is pending.
 void
-QueryRun::AddAttempt(const ShardName& aShard, Actions& aActions)
+QueryRun::StartRound(Actions& aActions)
 {
-  ShardState& state = shards_.at(aShard);
+  for (const auto& [shard, targets] : plan_.shards_.shards_) {
+    shards_.try_emplace(shard);
+  }
+  for (auto& [shard, state] : shards_) {
+    if (state.started_) {
+      continue;
+    }
+    state.started_ = true;
+    // The attempts of a restart are extra load, so only those of the first round earn tokens.
+    if (StartAttempt(shard, AttemptKind::First, aActions) && restarts_ == 0) {
+      environment_.service_.budget_.OnFirstAttempt();
+    }
+    if (canaryPending_) {
+      break;
+    }
+  }
+  ScheduleTick();
+}
+
+std::vector<TargetName>
+QueryRun::Untried(const ShardName& aShard) const
+{
+  const ShardState& state = shards_.at(aShard);
   std::vector<TargetName> untried;
   for (const TargetName& target : plan_.shards_.shards_.at(aShard)) {
     if (!state.tried_.contains(target)) {
       untried.push_back(target);
     }
   }
-  const Micros left = deadline_ - environment_.timers_.Now();
-  if (untried.empty() || left <= Micros::zero()) {
-    return;
+  return untried;
+}
+
+/// Chooses a replica and adds an attempt on it. Returns false when no replica is left.
+bool
+QueryRun::StartAttempt(const ShardName& aShard, AttemptKind aKind, Actions& aActions)
+{
+  const TimePoint now = environment_.timers_.Now();
+  auto target = environment_.service_.selector_->Choose(Untried(aShard), aKind, plan_.query_.idempotent_, now);
+  if (!target) {
+    return false;
   }
-  const TargetName& target = untried[environment_.random_.Below(static_cast<uint32_t>(untried.size()))];
-  state.tried_.insert(target);
+  ShardState& state = shards_.at(aShard);
+  state.tried_.insert(*target);
   state.open_++;
+  state.startedAt_ = now;
   wire::SubRequest request;
   request.id_ = { plan_.id_, static_cast<uint32_t>(attempts_.size()) };
   request.caller_ = plan_.query_.caller_;
   request.service_ = plan_.query_.service_;
   request.shard_ = aShard;
-  request.target_ = target;
+  request.target_ = *target;
   request.version_ = plan_.shards_.version_;
   request.body_ = plan_.query_.body_;
   request.idempotent_ = plan_.query_.idempotent_;
+  request.alone_ = canaryPending_;
   request.fingerprint_ = fingerprint_;
-  request.budget_ = left;
-  attempts_.push_back({ aShard });
+  request.budget_ = deadline_ - now;
+  attempts_.push_back({ aShard, *target, aKind, canaryPending_, true, false, now, now });
   aActions.sends_.push_back(std::move(request));
+  RunCounters& counters = environment_.service_.counters_;
+  counters.attempts_++;
+  counters.hedges_ += aKind == AttemptKind::Hedge ? 1 : 0;
+  counters.retries_ += aKind == AttemptKind::Retry ? 1 : 0;
+  return true;
+}
+
+bool
+QueryRun::MayStartAttempts() const
+{
+  const size_t allowedLosses = canaryPending_ ? 1 : kMaxLosses;
+  return !finished_ && losses_.size() < allowedLosses && environment_.timers_.Now() < deadline_;
+}
+
+bool
+QueryRun::MayRestart() const
+{
+  return plan_.query_.idempotent_ && restarts_ < kMaxRestarts && MayStartAttempts();
 }
 
 void
@@ -76,117 +146,259 @@
   Actions actions;
   {
     std::lock_guard lock(mutex_);
-    if (finished_ || aReply.id_.number_ >= attempts_.size() || !attempts_[aReply.id_.number_].open_) {
+    if (aReply.id_.request_ != plan_.id_ || aReply.id_.number_ >= attempts_.size() ||
+        attempts_[aReply.id_.number_].answered_) {
       return;
     }
     AttemptState& attempt = attempts_[aReply.id_.number_];
-    attempt.open_ = false;
-    ShardState& state = shards_.at(attempt.shard_);
-    state.open_--;
-    if (state.covered_) {
-      return;
+    attempt.answered_ = true;
+    ReportToSelector(attempt, aReply.reply_);
+    if (aReply.reply_.reason_ == Reason::ConnectionLost) {
+      losses_.push_back({ attempt.shard_, attempt.target_, aReply.inFlightAtLoss_, attempt.alone_ });
+      actions.loss_ = MakeCrashReport();
     }
-    const TargetReply& reply = aReply.reply_;
-    if (reply.verdict_ == Verdict::Ran && reply.version_ == plan_.shards_.version_) {
-      state.covered_ = true;
-      state.matches_ = reply.matches_;
-      state.verdict_ = Verdict::Ran;
-    } else {
-      HandleFailure(attempt.shard_, reply, actions);
+    if (attempt.open_ && !finished_) {
+      Settle(attempt, aReply, actions);
+      CheckFinished(actions);
     }
-    CheckFinished(actions);
   }
   Perform(actions);
 }
 
+/// Handles the first outcome of an attempt that still matters.
+void
+QueryRun::Settle(AttemptState& aAttempt, const wire::SubReply& aReply, Actions& aActions)
+{
+  Close(aAttempt);
+  const TargetReply& reply = aReply.reply_;
+  if (reply.verdict_ != Verdict::Ran || reply.version_ != plan_.shards_.version_) {
+    HandleFailure(aAttempt.shard_, aReply, aActions);
+    return;
+  }
+  if (aAttempt.kind_ == AttemptKind::First) {
+    const TimePoint now = environment_.timers_.Now();
+    environment_.service_.latency_.Record(now, now - aAttempt.startedAt_);
+  }
+  Cover(aAttempt.shard_, reply, aActions);
+}
+
+void
+QueryRun::ReportToSelector(const AttemptState& aAttempt, const TargetReply& aReply)
+{
+  const TimePoint now = environment_.timers_.Now();
+  const TimePoint end = aAttempt.open_ || aReply.verdict_ == Verdict::Ran ? now : aAttempt.closedAt_;
+  environment_.service_.selector_->OnEnd(
+    aAttempt.target_, { aReply.verdict_, aReply.reason_, end - aAttempt.startedAt_ }, now);
+}
+
+void
+QueryRun::Close(AttemptState& aAttempt)
+{
+  aAttempt.open_ = false;
+  aAttempt.closedAt_ = environment_.timers_.Now();
+  shards_.at(aAttempt.shard_).open_--;
+}
+
+/// Cancels the open attempts of a shard whose outcome no longer matters.
+void
+QueryRun::CloseShard(const ShardName& aShard, Actions& aActions)
+{
+  for (uint32_t number = 0; number < attempts_.size() && shards_.at(aShard).open_ > 0; number++) {
+    AttemptState& attempt = attempts_[number];
+    if (!attempt.open_ || attempt.shard_ != aShard) {
+      continue;
+    }
+    Close(attempt);
+    aActions.cancels_.push_back({ plan_.id_, number });
+    environment_.service_.counters_.cancelled_++;
+    if (attempt.kind_ == AttemptKind::First) {
+      environment_.service_.latency_.Record(attempt.closedAt_, attempt.closedAt_ - attempt.startedAt_);
+    }
+  }
+}
+
+/// Takes the first complete reply of a shard and cancels the attempts that lost.
+void
+QueryRun::Cover(const ShardName& aShard, const TargetReply& aReply, Actions& aActions)
+{
+  ShardState& state = shards_.at(aShard);
+  state.covered_ = true;
+  state.retryWaits_ = false;
+  state.matches_ = aReply.matches_;
+  state.verdict_ = Verdict::Ran;
+  CloseShard(aShard, aActions);
+  if (canaryPending_) {
+    canaryPending_ = false;
+    canaryClean_ = true;
+    StartRound(aActions);
+  }
+}
+
 /// Records why an attempt failed and tries another replica where that cannot run a request twice.
 void
-QueryRun::HandleFailure(const ShardName& aShard, const TargetReply& aReply, Actions& aActions)
+QueryRun::HandleFailure(const ShardName& aShard, const wire::SubReply& aReply, Actions& aActions)
 {
   ShardState& state = shards_.at(aShard);
-  state.lastReason_ = aReply.reason_;
-  state.verdict_ = Combine(state.verdict_, aReply.verdict_);
-  if (aReply.verdict_ == Verdict::NotRun || plan_.query_.idempotent_) {
-    AddAttempt(aShard, aActions);
+  const TargetReply& reply = aReply.reply_;
+  const bool otherVersion = reply.verdict_ == Verdict::Ran;
+  state.lastReason_ = otherVersion ? Reason::VersionNotHeld : reply.reason_;
+  state.verdict_ = Combine(state.verdict_, reply.verdict_);
+  state.versionLacking_ = state.versionLacking_ || state.lastReason_ == Reason::VersionNotHeld;
+  if (reply.verdict_ == Verdict::NotRun || plan_.query_.idempotent_) {
+    Retry(aShard, reply.verdict_ == Verdict::NotRun && !aReply.touchedTarget_, aActions);
+  }
+  if (state.versionLacking_ && state.open_ == 0 && Untried(aShard).empty() && MayRestart() && !restarting_) {
+    restarting_ = true;
+    aActions.versionMissing_ = aShard;
   }
 }
 
+/// Tries another replica of a shard without open attempts, or later when there is no token now. aFree needs no token.
 void
-QueryRun::OnDeadline()
+QueryRun::Retry(const ShardName& aShard, bool aFree, Actions& aActions)
+{
+  ShardState& state = shards_.at(aShard);
+  state.retryWaits_ = false;
+  if (state.open_ > 0 || !MayStartAttempts() || Untried(aShard).empty()) {
+    return;
+  }
+  if (aFree || environment_.service_.budget_.TryTake()) {
+    StartAttempt(aShard, AttemptKind::Retry, aActions);
+  } else {
+    state.retryWaits_ = true;
+  }
+  ScheduleTick();
+}
+
+/// Subscribes to the time at which the next shard may need a hedge or a waiting retry. Does nothing while subscribed.
+void
+QueryRun::ScheduleTick()
+{
+  if (tickScheduled_ || !MayStartAttempts()) {
+    return;
+  }
+  const TimePoint now = environment_.timers_.Now();
+  const bool hedges = environment_.hedges_ && plan_.query_.idempotent_ && !canaryPending_;
+  std::optional<TimePoint> due;
+  for (const auto& [shard, state] : shards_) {
+    if (state.covered_ || (!state.retryWaits_ && (!hedges || state.hedged_ || state.open_ == 0))) {
+      continue;
+    }
+    TimePoint at = state.startedAt_ + hedgeDelay_;
+    // A hedge or retry that found no token is tried again after a part of the delay.
+    at = at <= now ? now + hedgeDelay_ / 4 : at;
+    due = std::min(due.value_or(at), at);
+  }
+  if (due && *due < deadline_) {
+    tickScheduled_ = true;
+    tickTimer_ = environment_.timers_.After(*due - now, [self = shared_from_this()] { self->OnTick(); });
+  }
+}
+
+/// Starts waiting retries and the hedges of shards that are slower than the tracked quantile.
+void
+QueryRun::OnTick()
 {
   Actions actions;
   {
     std::lock_guard lock(mutex_);
-    if (!finished_) {
-      Finish(actions);
+    tickScheduled_ = false;
+    const TimePoint now = environment_.timers_.Now();
+    const bool hedges = environment_.hedges_ && plan_.query_.idempotent_ && !canaryPending_;
+    for (auto& [shard, state] : shards_) {
+      if (!MayStartAttempts()) {
+        break;
+      }
+      if (state.covered_) {
+        continue;
+      }
+      if (state.retryWaits_) {
+        Retry(shard, false, actions);
+      } else if (hedges && state.open_ > 0 && !state.hedged_ && now - state.startedAt_ >= hedgeDelay_) {
+        Hedge(shard, actions);
+      }
     }
+    ScheduleTick();
+    CheckFinished(actions);
   }
   Perform(actions);
 }
 
+/// Starts a second attempt of a slow shard if there is a replica and a token for it.
 void
-QueryRun::CheckFinished(Actions& aActions)
+QueryRun::Hedge(const ShardName& aShard, Actions& aActions)
 {
-  const bool waiting = std::any_of(shards_.begin(), shards_.end(), [](const auto& aEntry) {
-    return !aEntry.second.covered_ && aEntry.second.open_ > 0;
-  });
-  if (!finished_ && !waiting) {
-    Finish(aActions);
+  ShardState& state = shards_.at(aShard);
+  if (Untried(aShard).empty()) {
+    state.hedged_ = true;
+    return;
+  }
+  const Micros age = environment_.timers_.Now() - state.startedAt_;
+  const bool overdue = age >= std::chrono::duration_cast<Micros>(kOverdueFactor * hedgeDelay_);
+  ExtraAttemptBudget& budget = environment_.service_.budget_;
+  if (!budget.TryTake(overdue ? 0 : kKeptTokens)) {
+    return;
+  }
+  state.hedged_ = true;
+  if (!StartAttempt(aShard, AttemptKind::Hedge, aActions)) {
+    budget.GiveBack();
   }
 }
 
 void
-QueryRun::Finish(Actions& aActions)
+QueryRun::OnSoftDeadline()
 {
-  finished_ = true;
-  aActions.finished_ = true;
-  for (uint32_t number = 0; number < attempts_.size(); number++) {
-    if (attempts_[number].open_) {
-      aActions.cancels_.push_back({ plan_.id_, number });
-    }
+  Actions actions;
+  {
+    std::lock_guard lock(mutex_);
+    softDeadlinePassed_ = true;
+    CheckFinished(actions);
   }
+  Perform(actions);
 }
 
 void
-QueryRun::Perform(const Actions& aActions)
+QueryRun::OnDeadline()
 {
-  for (const wire::SubRequest& request : aActions.sends_) {
-    environment_.sender_.Start(request,
-                               [self = shared_from_this()](const wire::SubReply& aReply) { self->OnReply(aReply); });
+  Actions actions;
+  {
+    std::lock_guard lock(mutex_);
+    if (!finished_) {
+      Finish(actions);
+    }
   }
-  for (const AttemptId& id : aActions.cancels_) {
-    environment_.sender_.Cancel(id);
+  Perform(actions);
+}
+
+size_t
+QueryRun::Covered() const
+{
+  return static_cast<size_t>(
+    std::count_if(shards_.begin(), shards_.end(), [](const auto& aEntry) { return aEntry.second.covered_; }));
+}
+
+/// Ends the run when nothing is open or due any more, or when the policy is content.
+void
+QueryRun::CheckFinished(Actions& aActions)
+{
+  if (finished_ || restarting_) {
+    return;
   }
-  if (aActions.finished_) {
-    environment_.timers_.Cancel(deadlineTimer_);
-    callback_(BuildAnswer());
+  const bool mayRetry = MayStartAttempts();
+  const bool waiting = std::any_of(shards_.begin(), shards_.end(), [mayRetry](const auto& aEntry) {
+    const ShardState& state = aEntry.second;
+    return !state.covered_ && (state.open_ > 0 || (mayRetry && state.retryWaits_));
+  });
+  if (!waiting || (softDeadlinePassed_ && policy_.EndsAfterSoftDeadline(Covered()))) {
+    Finish(aActions);
   }
 }
 
-Answer
-QueryRun::BuildAnswer()
+void
+QueryRun::Finish(Actions& aActions)
 {
-  std::lock_guard lock(mutex_);
-  Answer answer;
-  answer.request_ = plan_.id_;
-  answer.version_ = plan_.shards_.version_;
-  answer.config_ = plan_.config_;
-  answer.attempts_ = static_cast<uint32_t>(attempts_.size());
-  answer.verdict_ = Verdict::NotRun;
-  for (auto& [shard, state] : shards_) {
-    if (state.covered_) {
-      answer.covered_.insert(shard);
-      std::move(state.matches_.begin(), state.matches_.end(), std::back_inserter(answer.matches_));
-    } else {
-      const bool late = state.open_ > 0;
-      answer.missing_[shard] = late ? Reason::TimedOut : state.lastReason_;
-      state.verdict_ = late ? Verdict::MayHaveRun : state.verdict_;
-      answer.reason_ = answer.missing_[shard];
-    }
-    answer.verdict_ = Combine(answer.verdict_, state.verdict_);
-  }
-  std::sort(answer.matches_.begin(), answer.matches_.end());
-  return answer;
+  finished_ = true;
+  aActions.finished_ = true;
 }
 
 } // namespace ibisrock
--- a/src/request/query_run.h
+++ b/src/request/query_run.h
@@ -3,10 +3,15 @@
 
 #include "base/random.h"
 #include "base/timer_service.h"
+#include "process/service_table.h"
 #include "request/attempt_sender.h"
+#include "request/coverage_policy.h"
+#include "request/crash_observer.h"
 #include "request/query.h"
+#include "request/version_source.h"
 #include "version/configuration.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,11 +24,15 @@
 struct RunEnvironment
 {
   TimerService& timers_;
-  Random& random_;
   AttemptSender& sender_;
+  ServiceState& service_;
+  VersionSource& versions_;
+  CrashObserver& crashes_;
+  /// False turns hedges off, for comparison.
+  bool hedges_ = true;
 };
 
-/// What is fixed for the whole life of a run.
+/// What is fixed for the whole life of a run, except that a restart replaces the shard map.
 struct RunPlan
 {
   RequestId id_;
@@ -31,6 +40,9 @@
   std::shared_ptr<const ServiceConfig> service_;
   ConfigVersion config_;
   ShardMap shards_;
+  /// The query is suspected of crashing targets: one shard runs first, alone on its target, and the rest only after a
+  /// clean reply.
+  bool canaryFirst_ = false;
 };
 
 /// One query from its fan-out to its answer. Thread-safe; it keeps itself alive until it has answered.
@@ -39,30 +51,47 @@
 public:
   static std::shared_ptr<QueryRun> Create(RunPlan aPlan, RunEnvironment aEnvironment, AnswerCallback aCallback);
 
-  /// Sends the first attempt of every shard.
+  /// Sends the first attempt of every shard, or of one shard when a canary goes first.
   void Start();
 
 private:
-  /// Progress of one shard.
+  /// Progress of one shard with the pinned version.
   struct ShardState
   {
+    bool started_ = false;
     bool covered_ = false;
+    bool hedged_ = false;
+    /// A retry is due as soon as the budget has a token.
+    bool retryWaits_ = false;
+    /// At least one replica refused because it does not hold the version.
+    bool versionLacking_ = false;
     std::set<TargetName> tried_;
     std::vector<Match> matches_;
     Reason lastReason_ = Reason::NoReplica;
     Verdict verdict_ = Verdict::NotRun;
     uint32_t open_ = 0;
+    /// Start of the latest attempt.
+    TimePoint startedAt_;
   };
+  /// An attempt is open until its outcome no longer matters, and answered once its callback was called.
   struct AttemptState
   {
     ShardName shard_;
+    TargetName target_;
+    AttemptKind kind_ = AttemptKind::First;
+    bool alone_ = false;
     bool open_ = true;
+    bool answered_ = false;
+    TimePoint startedAt_;
+    TimePoint closedAt_;
   };
   /// What must be done after the lock is released.
   struct Actions
   {
     std::vector<wire::SubRequest> sends_;
     std::vector<AttemptId> cancels_;
+    std::optional<CrashReport> loss_;
+    std::optional<ShardName> versionMissing_;
     bool finished_ = false;
   };
 
@@ -70,26 +99,60 @@
 
   void OnReply(const wire::SubReply& aReply);
   void OnDeadline();
+  void OnSoftDeadline();
+  void OnTick();
   void Perform(const Actions& aActions);
-  Answer BuildAnswer();
+  void End();
+  void Restart(const ShardName& aLacking);
 
   // The functions below need the lock.
-  void AddAttempt(const ShardName& aShard, Actions& aActions);
-  void HandleFailure(const ShardName& aShard, const TargetReply& aReply, Actions& aActions);
+  Answer BuildAnswer();
+  CrashReport MakeCrashReport() const;
+  void StartRound(Actions& aActions);
+  void BeginNextVersion(ShardMap aNext, Actions& aActions);
+  bool StartAttempt(const ShardName& aShard, AttemptKind aKind, Actions& aActions);
+  void Close(AttemptState& aAttempt);
+  void CloseShard(const ShardName& aShard, Actions& aActions);
+  void Settle(AttemptState& aAttempt, const wire::SubReply& aReply, Actions& aActions);
+  void Cover(const ShardName& aShard, const TargetReply& aReply, Actions& aActions);
+  void HandleFailure(const ShardName& aShard, const wire::SubReply& aReply, Actions& aActions);
+  void Retry(const ShardName& aShard, bool aFree, Actions& aActions);
+  void Hedge(const ShardName& aShard, Actions& aActions);
+  void ReportToSelector(const AttemptState& aAttempt, const TargetReply& aReply);
+  std::vector<TargetName> Untried(const ShardName& aShard) const;
+  bool MayStartAttempts() const;
+  bool MayRestart() const;
+  size_t Covered() const;
   void CheckFinished(Actions& aActions);
   void Finish(Actions& aActions);
+  void ScheduleTick();
 
-  const RunPlan plan_;
+  RunPlan plan_;
   RunEnvironment environment_;
   AnswerCallback callback_;
+  const CoveragePolicy& policy_;
   Micros budget_{};
   TimePoint deadline_;
   Fingerprint fingerprint_;
 
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::map<ShardName, ShardState> shards_;
-  std::vector<AttemptState> attempts_;
+  std::deque<AttemptState> attempts_;
+  /// Versions that this run found missing.
+  std::set<IndexVersion> missingVersions_;
+  /// Combined verdict of the attempts made with versions that were given up.
+  Verdict earlierVerdict_ = Verdict::NotRun;
+  std::vector<ConnectionLoss> losses_;
+  bool canaryPending_ = false;
+  bool canaryClean_ = false;
+  bool restarting_ = false;
+  unsigned restarts_ = 0;
+  bool softDeadlinePassed_ = false;
   TimerId deadlineTimer_;
+  TimerId softTimer_;
+  TimerId tickTimer_;
+  bool tickScheduled_ = false;
+  Micros hedgeDelay_{};
   bool finished_ = false;
 };
 
--- /dev/null
+++ b/src/request/query_run_actions.cpp
@@ -0,0 +1,134 @@
+#include "request/query_run.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace ibisrock {
+
+/// Does what was decided under the lock.
+void
+QueryRun::Perform(const Actions& aActions)
+{
+  for (const wire::SubRequest& request : aActions.sends_) {
+    environment_.sender_.Start(request,
+                               [self = shared_from_this()](const wire::SubReply& aReply) { self->OnReply(aReply); });
+  }
+  for (const AttemptId& id : aActions.cancels_) {
+    environment_.sender_.Cancel(id);
+  }
+  if (aActions.loss_) {
+    environment_.crashes_.OnConnectionLost(*aActions.loss_);
+  }
+  if (aActions.versionMissing_) {
+    Restart(*aActions.versionMissing_);
+  }
+  if (aActions.finished_) {
+    End();
+  }
+}
+
+/// Cancels what is open, answers the caller and reports what the run showed.
+void
+QueryRun::End()
+{
+  Actions actions;
+  Answer answer;
+  CrashReport report;
+  {
+    std::lock_guard lock(mutex_);
+    answer = BuildAnswer();
+    report = MakeCrashReport();
+    for (const auto& [shard, state] : shards_) {
+      CloseShard(shard, actions);
+    }
+    for (const TimerId timer : { deadlineTimer_, softTimer_, tickTimer_ }) {
+      environment_.timers_.Cancel(timer);
+    }
+  }
+  Perform(actions);
+  environment_.crashes_.OnRunEnded(report);
+  callback_(std::move(answer));
+}
+
+/// Begins again with another version, or goes on without the shard when there is none.
+void
+QueryRun::Restart(const ShardName& aLacking)
+{
+  IndexVersion lacking;
+  std::set<IndexVersion> missing;
+  {
+    std::lock_guard lock(mutex_);
+    lacking = plan_.shards_.version_;
+    missingVersions_.insert(lacking);
+    missing = missingVersions_;
+  }
+  environment_.versions_.OnVersionMissing(plan_.query_.service_, lacking, aLacking);
+  auto next = environment_.versions_.Choose(*plan_.service_, missing);
+  Actions actions;
+  {
+    std::lock_guard lock(mutex_);
+    restarting_ = false;
+    if (next && !missing.contains(next->version_) && MayRestart()) {
+      BeginNextVersion(std::move(*next), actions);
+    }
+    CheckFinished(actions);
+  }
+  Perform(actions);
+}
+
+/// Gives up everything received so far: replies of two versions are never mixed. Needs the lock.
+void
+QueryRun::BeginNextVersion(ShardMap aNext, Actions& aActions)
+{
+  for (const auto& [shard, state] : shards_) {
+    const Verdict verdict = state.open_ > 0 ? Verdict::MayHaveRun : state.verdict_;
+    earlierVerdict_ = Combine(earlierVerdict_, verdict);
+    CloseShard(shard, aActions);
+  }
+  plan_.shards_ = std::move(aNext);
+  shards_.clear();
+  restarts_++;
+  environment_.service_.counters_.restarts_++;
+  StartRound(aActions);
+}
+
+/// Needs the lock.
+CrashReport
+QueryRun::MakeCrashReport() const
+{
+  return { plan_.query_.service_, fingerprint_, losses_, canaryClean_ };
+}
+
+/// Needs the lock, and the attempts that are still open.
+Answer
+QueryRun::BuildAnswer()
+{
+  Answer answer;
+  answer.request_ = plan_.id_;
+  answer.version_ = plan_.shards_.version_;
+  answer.config_ = plan_.config_;
+  answer.attempts_ = static_cast<uint32_t>(attempts_.size());
+  answer.verdict_ = Verdict::NotRun;
+  for (auto& [shard, state] : shards_) {
+    if (state.covered_) {
+      answer.covered_.insert(shard);
+      std::move(state.matches_.begin(), state.matches_.end(), std::back_inserter(answer.matches_));
+    } else {
+      const bool late = state.open_ > 0;
+      const Reason unstarted = plan_.canaryFirst_ ? Reason::CrashSuspect : Reason::Expired;
+      const Reason reason = state.started_ ? state.lastReason_ : unstarted;
+      answer.missing_[shard] = late ? Reason::TimedOut : reason;
+      state.verdict_ = late ? Verdict::MayHaveRun : state.verdict_;
+      answer.reason_ = answer.missing_[shard];
+    }
+    answer.verdict_ = Combine(answer.verdict_, state.verdict_);
+  }
+  // Attempts of a version that was given up matter only when the last version did not give the whole answer.
+  if (!answer.missing_.empty()) {
+    answer.verdict_ = Combine(answer.verdict_, earlierVerdict_);
+  }
+  std::sort(answer.matches_.begin(), answer.matches_.end());
+  return answer;
+}
+
+} // namespace ibisrock
