Limit the effect of one straggler on replica choice and hedge more

Cause: one straggler raised the average latency of its replica so much that its coordinator avoided the replica.

Change: a latency counts at most twice the average; the quantile is 0.95.

--- a/src/process/latency_tracker.h
+++ b/src/process/latency_tracker.h
@@ -12,8 +12,8 @@
 class LatencyTracker
 {
 public:
-  /// Leaves a part of the extra-attempt budget (5%) to retries.
-  static constexpr double kDefaultQuantile = 0.96;
+  /// Uses most of the extra-attempt budget (5%) for hedges. A lower quantile empties it, so that stragglers wait.
+  static constexpr double kDefaultQuantile = 0.95;
   /// Lower limit of the hedge delay: below it a hedge costs more than it can save.
   static constexpr Micros kFloor = Millis(1);
 
--- a/src/process/replica_selector.cpp
+++ b/src/process/replica_selector.cpp
@@ -9,6 +9,8 @@
 
 /// Weight of the newest latency in the moving average.
 constexpr double kWeight = 0.1;
+/// Largest effect of one latency, in averages: one straggler must not turn all attempts away from its replica.
+constexpr double kMaxRise = 2;
 /// An observation loses its effect with this time constant, so that a replica that is avoided is tried again.
 constexpr double kMemorySeconds = 1.0;
 constexpr Micros kFirstBackOff = Millis(200);
@@ -83,7 +85,8 @@
 void
 BalancedSelector::Observe(Replica& aReplica, const AttemptOutcome& aOutcome, TimePoint aNow)
 {
-  const auto latency = static_cast<double>(aOutcome.elapsed_.count());
+  const auto elapsed = static_cast<double>(aOutcome.elapsed_.count());
+  const double latency = aReplica.latency_ == 0 ? elapsed : std::min(elapsed, kMaxRise * aReplica.latency_);
   // The time until a cancellation is a lower bound, which says nothing when it is below the average.
   if (aOutcome.verdict_ != Verdict::Ran && latency <= aReplica.latency_) {
     return;
