--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -123,7 +123,7 @@
   LastReason reason;
   const Environment environment{ *running->timers_,  random_,          *running->transport_,
                                  *running->targets_, *running->store_, list_ };
-  auto instance = Instance::Create(self, environment, reason);
+  auto instance = Instance::Create(self, environment, reason, shape_.tuning_);
   if (!instance) {
     throw std::runtime_error(reason.Text());
   }
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -42,11 +42,7 @@
   Millis softDeadline_{ 200 };
   unsigned queriesPerSecond_ = 100000;
   unsigned concurrent_ = 10000;
-  struct
-  {
-    bool hedges_ = true;
-    bool randomReplica_ = false;
-  } tuning_;
+  RunTuning tuning_;
 };
 
 /// Name of the one service of a FakeCluster.
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -25,7 +25,8 @@
   /// Returns no value when the identity has no id or no address.
   static std::optional<std::unique_ptr<Instance>> Create(InstanceIdentity aSelf,
                                                          Environment aEnvironment,
-                                                         LastReason& aReason);
+                                                         LastReason& aReason,
+                                                         const RunTuning& aTuning = {});
 
   /// Begins to read the configuration and the instance list.
   void Start();
@@ -41,11 +42,13 @@
   bool IsReady(LastReason& aReason) const;
   /// Version of the configuration in force; none before the first.
   ConfigVersion ConfigInForce() const;
+  /// What the runs of each service share, with their counters.
+  ServiceTable& Services() { return coordinator_.Services(); }
   /// State of every part as JSON.
   std::string DumpState() const;
 
 private:
-  Instance(InstanceIdentity aSelf, Environment aEnvironment);
+  Instance(InstanceIdentity aSelf, Environment aEnvironment, const RunTuning& aTuning);
 
   bool SendToPeerAddress(const PeerAddress& aPeer, wire::Body aBody);
 
