Add messages for probing

Cause: instances learned of each other only from the lagging instance list. Change: Ping, Ack and PingRequest at the end of the Body variant. Each carries the sender's own member update and a list of gossip updates. EncodedSize gives the size of an update, so that messages can be bounded.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -66,4 +66,12 @@
   }
 }
 
+size_t
+EncodedSize(const Update& aUpdate)
+{
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, aUpdate);
+  return buffer.size();
+}
+
 } // namespace ibisrock::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -20,6 +20,10 @@
 std::optional<Envelope>
 Decode(std::string_view aBytes, LastReason& aReason);
 
+/// Bytes that an update takes up in a message.
+size_t
+EncodedSize(const Update& aUpdate);
+
 } // namespace ibisrock::wire
 
 #endif
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -114,7 +114,34 @@
   std::vector<Update> updates_;
 };
 
-using Body = std::variant<SubRequest, SubReply, CancelAttempt, Rumours>;
+/// Asks a peer for an Ack.
+struct Ping
+{
+  uint64_t sequence_ = 0;
+  /// The sending instance as it sees itself.
+  MemberUpdate sender_;
+  std::vector<Update> updates_;
+};
+
+/// Answers a Ping, or tells the sender of a PingRequest that the subject has answered.
+struct Ack
+{
+  /// Sequence of the Ping or PingRequest that this answers.
+  uint64_t sequence_ = 0;
+  MemberUpdate sender_;
+  std::vector<Update> updates_;
+};
+
+/// Asks a peer to ping another peer that did not answer the sender.
+struct PingRequest
+{
+  uint64_t sequence_ = 0;
+  PeerAddress subject_;
+  MemberUpdate sender_;
+  std::vector<Update> updates_;
+};
+
+using Body = std::variant<SubRequest, SubReply, CancelAttempt, Rumours, Ping, Ack, PingRequest>;
 
 /// Every message between instances.
 struct Envelope
--- a/src/wire/msgpack_types.h
+++ b/src/wire/msgpack_types.h
@@ -161,6 +161,24 @@
   static auto Tie(auto& aValue) { return std::tie(aValue.updates_); }
 };
 
+template<>
+struct Fields<Ping>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.sequence_, aValue.sender_, aValue.updates_); }
+};
+
+template<>
+struct Fields<Ack>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.sequence_, aValue.sender_, aValue.updates_); }
+};
+
+template<>
+struct Fields<PingRequest>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.sequence_, aValue.subject_, aValue.sender_, aValue.updates_); }
+};
+
 } // namespace ibisrock::wire
 
 namespace msgpack {
