Add a table of owners for each member view

Cause: a query asks for the owner of each of its attempts, and FindOwner hashes every member each time. FindOwner stays the definition; a caller with an earlier view gets its result directly.

--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -25,4 +25,26 @@
   return owner;
 }
 
+const Member*
+OwnershipTable::Find(const std::shared_ptr<const MemberView>& aView,
+                     const TargetName& aTarget,
+                     const DataCentre& aDataCentre)
+{
+  Shard& shard = shards_[std::hash<TargetName>()(aTarget) % kShardCount];
+  std::lock_guard lock(shard.mutex_);
+  if (shard.view_ != aView) {
+    // A slow caller with an earlier view must not displace the entries of the newest one.
+    if (shard.view_ && aView->epoch_ < shard.view_->epoch_) {
+      return FindOwner(*aView, aTarget, aDataCentre);
+    }
+    shard.owners_.clear();
+    shard.view_ = aView;
+  }
+  auto [found, isNew] = shard.owners_.try_emplace(aTarget);
+  if (isNew || found->second.dataCentre_ != aDataCentre) {
+    found->second = { aDataCentre, FindOwner(*aView, aTarget, aDataCentre) };
+  }
+  return found->second.owner_;
+}
+
 } // namespace ibisrock
