Find members by probing and spread what is learned by gossip

Cause: members came from the instance list alone, which lags, and every instance read it each second. Change: Prober pings one peer each 500 ms, asks two others after 200 ms, and suspects the peer at the end of the period; a suspect that does not refute within 3 s is dead. Only two instances of each data centre read the list, and a listed instance counts once it has answered. Gossip queues updates, sends each O(log n) times on probes and pushes, and pushes urgent ones to 3 peers at once. Accusations travel with pings, so that a live member refutes them. One dead member is pinged every 2 s, which joins the sides of a healed partition. A process that did not run for a second owns nothing until a peer has answered, and refuses forwarded work as expired. AttemptRouter refuses work whose budget was used up on the way, and looks owners up in the table. The fakes gain lost messages, freezable timers and a fleet of memberships. Incarnations in the fakes are 1000 apart, as start times are, so that refutations do not overtake a restart. A killed instance's timers stop with it.

--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -13,6 +13,8 @@
 
 constexpr Micros kStartStep = Millis(10);
 constexpr unsigned kMaxStartSteps = 3000;
+/// Start times of real processes differ by far more than the incarnations that refutations add.
+constexpr uint64_t kIncarnationStep = 1000;
 
 } // namespace
 
@@ -22,6 +24,7 @@
   std::optional<std::vector<ListedInstance>> listed;
   {
     std::lock_guard lock(mutex_);
+    fetches_++;
     if (available_) {
       listed = listed_;
     }
@@ -43,6 +46,13 @@
   available_ = aAvailable;
 }
 
+uint64_t
+FakeInstanceList::Fetches() const
+{
+  std::lock_guard lock(mutex_);
+  return fetches_;
+}
+
 FakeCluster::FakeCluster(const ClusterShape& aShape, uint64_t aSeed)
   : random_(aSeed)
   , network_(timers_)
@@ -113,10 +123,14 @@
 {
   const ListedInstance listed = Listed(aIndex);
   auto running = std::make_unique<Running>();
+  running->timers_ = std::make_unique<FreezableTimers>(timers_);
   running->transport_ = std::make_unique<FakeTransport>(network_, listed.address_);
-  const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(++lastIncarnation_) };
+  const InstanceIdentity self{
+    listed.id_, listed.address_, listed.dataCentre_, Incarnation(lastIncarnation_ += kIncarnationStep)
+  };
   LastReason reason;
-  auto instance = Instance::Create(self, { timers_, random_, *running->transport_, targets_, store_, list_ }, reason);
+  auto instance =
+    Instance::Create(self, { *running->timers_, random_, *running->transport_, targets_, store_, list_ }, reason);
   if (!instance) {
     throw std::runtime_error(reason.Text());
   }
@@ -160,6 +174,7 @@
 FakeCluster::Kill(size_t aIndex)
 {
   network_.Detach(AddressOf(aIndex));
+  instances_.at(aIndex)->timers_->Stop();
   ended_.push_back(std::move(instances_.at(aIndex)));
 }
 
@@ -169,6 +184,18 @@
   Launch(aIndex);
 }
 
+void
+FakeCluster::SetFrozen(size_t aIndex, bool aFrozen)
+{
+  if (aFrozen) {
+    instances_.at(aIndex)->timers_->SetFrozen(true);
+  }
+  network_.SetFrozen(AddressOf(aIndex), aFrozen);
+  if (!aFrozen) {
+    instances_.at(aIndex)->timers_->SetFrozen(false);
+  }
+}
+
 Answer
 FakeCluster::Ask(size_t aIndex, Query aQuery)
 {
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -4,6 +4,7 @@
 #include "fakes/fake_network.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_targets.h"
+#include "fakes/freezable_timers.h"
 #include "process/instance.h"
 
 #include <memory>
@@ -20,9 +21,11 @@
   void Set(std::vector<ListedInstance> aListed);
   /// While unavailable every fetch answers with no value.
   void SetAvailable(bool aAvailable);
+  uint64_t Fetches() const;
 
 private:
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
+  uint64_t fetches_ = 0;
   bool available_ = true;
   std::vector<ListedInstance> listed_;
 };
@@ -58,6 +61,8 @@
   void Kill(size_t aIndex);
   /// Starts a new instance with the same id and a later incarnation.
   void Restart(size_t aIndex);
+  /// Stops an instance's timers and messages as a paused process does, or resumes it.
+  void SetFrozen(size_t aIndex, bool aFrozen);
   /// Runs one query on an instance and advances time until it is answered.
   Answer Ask(size_t aIndex, Query aQuery);
 
@@ -78,6 +83,7 @@
 private:
   struct Running
   {
+    std::unique_ptr<FreezableTimers> timers_;
     std::unique_ptr<FakeTransport> transport_;
     std::unique_ptr<Instance> instance_;
   };
--- a/src/fakes/fake_network.cpp
+++ b/src/fakes/fake_network.cpp
@@ -52,6 +52,13 @@
   delay_ = aDelay;
 }
 
+void
+FakeNetwork::SetLoss(double aShare)
+{
+  std::lock_guard lock(mutex_);
+  loss_ = aShare;
+}
+
 bool
 FakeNetwork::Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes)
 {
@@ -61,7 +68,7 @@
   }
   messages_++;
   bytes_ += aBytes.size();
-  if (!cuts_.contains({ aFrom, aTo })) {
+  if (!cuts_.contains({ aFrom, aTo }) && (loss_ == 0 || random_.Unit() >= loss_)) {
     timers_.After(delay_, [this, aTo, bytes = std::move(aBytes)] { Deliver(aTo, bytes); });
   }
   return true;
--- a/src/fakes/fake_network.h
+++ b/src/fakes/fake_network.h
@@ -2,6 +2,7 @@
 #define IBISROCK_FAKES_FAKE_NETWORK_H
 
 #include "base/peer_transport.h"
+#include "base/random.h"
 #include "base/timer_service.h"
 
 #include <functional>
@@ -34,6 +35,8 @@
   /// Messages to a frozen address wait until it is thawed.
   void SetFrozen(const PeerAddress& aAddress, bool aFrozen);
   void SetDelay(Micros aDelay);
+  /// Loses this share of all messages without notice, at random.
+  void SetLoss(double aShare);
 
   bool Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes);
   uint64_t MessagesSent() const;
@@ -45,6 +48,8 @@
   TimerService& timers_;
   mutable std::mutex mutex_;
   Micros delay_ = Micros(500);
+  double loss_ = 0;
+  Random random_{ 1 };
   std::map<PeerAddress, Receiver> receivers_;
   std::set<std::pair<PeerAddress, PeerAddress>> cuts_;
   std::map<PeerAddress, std::vector<std::string>> frozen_;
--- a/src/process/attempt_router.cpp
+++ b/src/process/attempt_router.cpp
@@ -1,7 +1,5 @@
 #include "process/attempt_router.h"
 
-#include "process/ownership.h"
-
 #include <utility>
 
 namespace ibisrock {
@@ -63,7 +61,7 @@
     return;
   }
   auto view = membership_.View();
-  const Member* owner = FindOwner(*view, target->name_, target->dataCentre_);
+  const Member* owner = owners_.Find(view, target->name_, target->dataCentre_);
   if (owner == nullptr || owner->id_ == self_.id_) {
     RunHere(*target, aRequest, std::move(aCallback));
   } else {
@@ -146,14 +144,20 @@
 }
 
 void
-AttemptRouter::OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest)
+AttemptRouter::OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest, Micros aDelay)
 {
+  if (aDelay >= aRequest.budget_) {
+    send_(aFrom, Failure(aRequest.id_, Verdict::NotRun, Reason::Expired));
+    return;
+  }
   auto target = FindTarget(aRequest.service_, aRequest.target_);
   if (!target) {
     send_(aFrom, Failure(aRequest.id_, Verdict::NotRun, Reason::NoReplica));
     return;
   }
-  dispatchers_.Get(*target)->Submit(aRequest, [this, aFrom](const wire::SubReply& aReply) { send_(aFrom, aReply); });
+  wire::SubRequest request = aRequest;
+  request.budget_ -= aDelay;
+  dispatchers_.Get(*target)->Submit(request, [this, aFrom](const wire::SubReply& aReply) { send_(aFrom, aReply); });
 }
 
 void
--- a/src/process/attempt_router.h
+++ b/src/process/attempt_router.h
@@ -4,6 +4,7 @@
 #include "process/config_keeper.h"
 #include "process/dispatcher_table.h"
 #include "process/membership.h"
+#include "process/ownership.h"
 #include "request/attempt_sender.h"
 
 #include <array>
@@ -27,8 +28,9 @@
   void Start(const wire::SubRequest& aRequest, Callback aCallback) override;
   void Cancel(const AttemptId& aId) override;
 
-  /// Runs an attempt that a peer forwarded and sends it the outcome.
-  void OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest);
+  /// Runs an attempt that a peer forwarded and sends it the outcome. aDelay is the time since it was sent; an attempt
+  /// whose budget it has used up is refused, so that work queued for a stopped process does not run when it resumes.
+  void OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest, Micros aDelay);
   /// Hands the outcome of a forwarded attempt to its run. Late and repeated outcomes are dropped.
   void OnSubReply(const wire::SubReply& aReply);
   void OnCancel(const wire::CancelAttempt& aCancel);
@@ -61,6 +63,7 @@
   const ConfigKeeper& config_;
   DispatcherTable& dispatchers_;
   SendToPeer send_;
+  OwnershipTable owners_;
   std::array<Shard, kShardCount> shards_;
 };
 
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -2,8 +2,10 @@
 #define IBISROCK_PROCESS_GOSSIP_H
 
 #include "process/membership.h"
+#include "process/update_queue.h"
 
 #include <functional>
+#include <mutex>
 #include <vector>
 
 namespace ibisrock {
@@ -22,14 +24,26 @@
   void Subscribe(Handler aHandler);
   /// Sends an update that this instance learned first hand to some peers at once, which pass it on.
   void Spread(const wire::Update& aUpdate);
+  /// Adds an update to the next messages to peers without a message of its own.
+  void Queue(const wire::Update& aUpdate);
   void OnRumours(const wire::Rumours& aRumours);
+  /// Updates that ride on the next message to a peer, of bounded size.
+  std::vector<wire::Update> TakeUpdates();
 
 private:
+  void Push();
+  void SendPush();
+
   const InstanceIdentity self_;
   Environment environment_;
   const Membership& membership_;
   SendToPeer send_;
   std::vector<Handler> handlers_;
+  UpdateQueue queue_;
+
+  std::mutex mutex_;
+  TimePoint nextPush_;
+  bool pushScheduled_ = false;
 };
 
 } // namespace ibisrock
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -39,6 +40,11 @@
             environment_,
             membership_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
+  , prober_(self_,
+            environment_,
+            membership_,
+            gossip_,
+            [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , config_(environment_)
   , dispatchers_(environment_)
   , router_(self_,
@@ -54,7 +60,7 @@
 void
 Instance::Start()
 {
-  membership_.Start();
+  prober_.Start();
   config_.Start();
 }
 
@@ -81,15 +87,28 @@
   if (!envelope) {
     return;
   }
+  const Micros delay =
+    peerClock_.Observe(envelope->from_, envelope->incarnation_, envelope->sentAt_, environment_.timers_.Now());
   std::visit(Overloaded{
-               [&](const wire::SubRequest& aRequest) { router_.OnSubRequest(envelope->replyTo_, aRequest); },
+               [&](const wire::SubRequest& aRequest) { OnSubRequest(*envelope, aRequest, delay); },
                [&](const wire::SubReply& aReply) { router_.OnSubReply(aReply); },
                [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
                [&](const wire::Rumours& aRumours) { gossip_.OnRumours(aRumours); },
+               [&](const wire::Ping& aPing) { prober_.OnPing(envelope->replyTo_, aPing); },
+               [&](const wire::Ack& aAck) { prober_.OnAck(aAck); },
+               [&](const wire::PingRequest& aRequest) { prober_.OnPingRequest(envelope->replyTo_, aRequest); },
              },
              envelope->body_);
 }
 
+/// Refuses forwarded work after a pause as if its budget were used up, until a peer has answered.
+void
+Instance::OnSubRequest(const wire::Envelope& aEnvelope, const wire::SubRequest& aRequest, Micros aDelay)
+{
+  const Micros delay = prober_.IsResuming() ? std::max(aDelay, aRequest.budget_) : aDelay;
+  router_.OnSubRequest(aEnvelope.replyTo_, aRequest, delay);
+}
+
 void
 Instance::BeginLeave()
 {
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -2,12 +2,14 @@
 #define IBISROCK_PROCESS_INSTANCE_H
 
 #include "base/last_reason.h"
+#include "connection/peer_clock.h"
 #include "process/attempt_router.h"
 #include "process/config_keeper.h"
 #include "process/coordinator.h"
 #include "process/dispatcher_table.h"
 #include "process/gossip.h"
 #include "process/membership.h"
+#include "process/prober.h"
 
 #include <atomic>
 #include <memory>
@@ -45,12 +47,15 @@
 private:
   Instance(InstanceIdentity aSelf, Environment aEnvironment);
 
+  void OnSubRequest(const wire::Envelope& aEnvelope, const wire::SubRequest& aRequest, Micros aDelay);
   bool SendToPeerAddress(const PeerAddress& aPeer, wire::Body aBody);
 
   const InstanceIdentity self_;
   Environment environment_;
   Membership membership_;
   Gossip gossip_;
+  Prober prober_;
+  PeerClock peerClock_;
   ConfigKeeper config_;
   DispatcherTable dispatchers_;
   AttemptRouter router_;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -4,9 +4,11 @@
 #include "process/environment.h"
 #include "wire/messages.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace ibisrock {
@@ -32,28 +34,67 @@
   std::vector<Member> members_;
 };
 
-/// Keeps the list of instances. Thread-safe.
+/// Keeps the state of every known instance; what it learns comes from probes and gossip. Thread-safe.
 class Membership
 {
 public:
+  /// Told of each change that this instance found out itself, without any lock held.
+  using Announce = std::function<void(const wire::MemberUpdate&)>;
+
   Membership(InstanceIdentity aSelf, Environment aEnvironment);
 
-  /// Fetches the instance list now and then periodically.
-  void Start();
-  /// Marks this instance as leaving, so that it owns nothing from now on.
+  /// Not thread-safe: to be called before the instance starts.
+  void SetAnnounce(Announce aAnnounce);
+  /// Marks this instance as leaving, so that it owns nothing from now on, and announces it.
   void Leave();
+  /// Whether this instance may own replicas; false while it does not know what happened during a pause.
+  void SetMayOwn(bool aMayOwn);
+
+  /// Takes a state from a peer. Returns true when it was news. An accusation against this instance is refuted.
+  bool Merge(const wire::MemberUpdate& aUpdate);
+  /// Records that a probe of this incarnation failed.
+  void Suspect(const InstanceId& aId, Incarnation aIncarnation);
+  /// Declares the members dead that did not refute a suspicion in time, and forgets those gone for long.
+  void Expire();
+  /// Gives every suspect its full time again, because this instance could not hear refutations during a pause.
+  void RestartSuspicions();
+
   std::shared_ptr<const MemberView> View() const;
+  /// Number of known instances, the dead ones included.
+  size_t KnownCount() const;
+  /// This instance as peers should see it.
+  wire::MemberUpdate Self() const;
+  std::optional<Member> Find(const InstanceId& aId) const;
+  /// Members that are known to be dead and may be back.
+  std::vector<Member> DeadMembers() const;
 
 private:
-  void Refresh();
-  void Apply(const std::vector<ListedInstance>& aListed);
+  struct Record
+  {
+    Member member_;
+    TimePoint since_;
+  };
+
+  bool MergeLocked(const wire::MemberUpdate& aUpdate);
+  std::optional<wire::MemberUpdate> RefuteLocked(const wire::MemberUpdate& aUpdate);
+  void RebuildLocked() const;
+  wire::MemberUpdate SelfLocked() const;
+  void Tell(const wire::MemberUpdate& aUpdate) const;
 
   const InstanceIdentity self_;
   Environment environment_;
+  Announce announce_;
 
   mutable std::mutex mutex_;
-  std::shared_ptr<const MemberView> view_;
+  std::map<InstanceId, Record> records_;
+  /// Made anew when it is asked for after a change, because changes come in bursts.
+  mutable std::shared_ptr<const MemberView> view_;
+  mutable bool viewIsOld_ = true;
+  Incarnation incarnation_;
   bool leaving_ = false;
+  bool mayOwn_ = true;
+  /// True when a later process with this id runs at another address.
+  bool replaced_ = false;
 };
 
 } // namespace ibisrock
