Send messages to a peer in batches and bound their age

Cause: a push socket held up to 1024 messages for a peer that was gone and delivered them when it came back, and the sockets of departed members stayed open. Change: messages to a peer within 200 us share a frame, a msgpack array of byte strings. They wait in the transport, which drops them with the socket when the peer accepts nothing for a second. One thread sends to all peers. Idle sockets are closed after 60 s. Send returns false only for a message that was not queued. Conclusion: a returning peer gets no message from before its absence.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -1,5 +1,8 @@
 #include "adapters/nng_transport.h"
 
+#include "adapters/frame.h"
+
+#include <iterator>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -9,21 +12,84 @@
 
 namespace {
 
-constexpr int kSendBufferMessages = 1024;
+using namespace std::chrono_literals;
+
 constexpr int kReceiveBufferMessages = 4096;
 constexpr size_t kMaxMessageBytes = 8 * 1024 * 1024;
+/// Room in the largest frame for the headers around a message.
+constexpr size_t kFrameOverhead = 64;
+constexpr size_t kMaxQueuedMessages = 1024;
+constexpr size_t kMaxBatchBytes = 1024 * 1024;
+constexpr auto kBatchTime = 200us;
+constexpr auto kRetryTime = 5ms;
+/// A peer that accepts nothing for this long is gone or stopped. Its messages are dropped with the socket, because they
+/// would arrive stale when it comes back.
+constexpr auto kBlockedTime = 1s;
+/// Time until such a peer is dialled again.
+constexpr auto kRedialTime = 500ms;
+/// A socket without messages for this long is closed, so that departed members leave none behind.
+constexpr auto kIdleTime = 60s;
+constexpr auto kSweepTime = 1s;
+
+/// Dials without waiting. Returns no value when no socket can be made.
+std::optional<nng_socket>
+Dial(const PeerAddress& aPeer)
+{
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  if (nng_push0_open(&socket) != 0) {
+    return std::nullopt;
+  }
+  // Messages wait in this class, where their age is bounded, and not in the socket.
+  nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
+  if (nng_dial(socket, ("tcp://" + aPeer.Value()).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
+    nng_close(socket);
+    return std::nullopt;
+  }
+  return socket;
+}
 
 } // namespace
 
-/// An nng push socket that closes itself.
-struct NngTransport::PushSocket
+/// A peer and the messages that wait for it. Only the sending thread sends on the socket and closes it.
+struct NngTransport::Peer
 {
-  nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+  const PeerAddress address_;
+  std::mutex mutex_;
+  std::optional<nng_socket> socket_;
+  std::vector<std::string> queue_;
+  /// Messages taken from the queue that the socket has not accepted yet. They count as queued.
+  size_t sending_ = 0;
+  bool scheduled_ = false;
+  std::optional<Clock::time_point> blockedSince_;
+  Clock::time_point redialAt_;
+  Clock::time_point lastUse_;
 
-  PushSocket() = default;
-  PushSocket(const PushSocket&) = delete;
-  PushSocket& operator=(const PushSocket&) = delete;
-  ~PushSocket() { nng_close(socket_); }
+  explicit Peer(PeerAddress aAddress)
+    : address_(std::move(aAddress))
+  {
+  }
+  Peer(const Peer&) = delete;
+  Peer& operator=(const Peer&) = delete;
+  ~Peer()
+  {
+    if (socket_) {
+      nng_close(*socket_);
+    }
+  }
+
+  /// Takes the first messages of the queue, as many as fit into one frame.
+  std::vector<std::string> TakeBatch()
+  {
+    size_t bytes = 0;
+    auto end = queue_.begin();
+    while (end != queue_.end() && (end == queue_.begin() || bytes + end->size() <= kMaxBatchBytes)) {
+      bytes += end->size();
+      ++end;
+    }
+    std::vector<std::string> batch(std::make_move_iterator(queue_.begin()), std::make_move_iterator(end));
+    queue_.erase(queue_.begin(), end);
+    return batch;
+  }
 };
 
 std::optional<std::unique_ptr<NngTransport>>
@@ -42,7 +108,8 @@
     return std::nullopt;
   }
   std::unique_ptr<NngTransport> transport(new NngTransport(pull.id));
-  transport->thread_ = std::thread([raw = transport.get()] { raw->ReceiveLoop(); });
+  transport->receiveThread_ = std::thread([raw = transport.get()] { raw->ReceiveLoop(); });
+  transport->sendThread_ = std::thread([raw = transport.get()] { raw->SendLoop(); });
   return transport;
 }
 
@@ -54,6 +121,12 @@
 NngTransport::~NngTransport()
 {
   Stop();
+  {
+    std::lock_guard lock(mutex_);
+    ending_ = true;
+  }
+  changed_.notify_all();
+  sendThread_.join();
 }
 
 void
@@ -63,13 +136,13 @@
     return;
   }
   nng_close(nng_socket{ pullSocket_ });
-  thread_.join();
+  receiveThread_.join();
 }
 
 void
 NngTransport::SetReceiver(Receiver aReceiver)
 {
-  std::lock_guard lock(mutex_);
+  std::lock_guard lock(receiverMutex_);
   receiver_ = std::move(aReceiver);
 }
 
@@ -83,41 +156,162 @@
     }
     Receiver receiver;
     {
-      std::lock_guard lock(mutex_);
+      std::lock_guard lock(receiverMutex_);
       receiver = receiver_;
     }
     if (receiver) {
-      receiver(std::string_view(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message)));
+      DecodeFrame({ static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message) }, receiver);
     }
     nng_msg_free(message);
   }
 }
 
-NngTransport::PushSocket*
-NngTransport::FindOrDial(const PeerAddress& aPeer)
+std::shared_ptr<NngTransport::Peer>
+NngTransport::FindPeer(const PeerAddress& aPeer)
 {
   std::lock_guard lock(mutex_);
-  std::unique_ptr<PushSocket>& entry = pushSockets_[aPeer];
-  if (entry) {
-    return entry.get();
-  }
-  auto socket = std::make_unique<PushSocket>();
-  if (nng_push0_open(&socket->socket_) != 0) {
-    return nullptr;
-  }
-  nng_socket_set_int(socket->socket_, NNG_OPT_SENDBUF, kSendBufferMessages);
-  if (nng_dial(socket->socket_, ("tcp://" + aPeer.Value()).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-    return nullptr;
+  std::shared_ptr<Peer>& entry = peers_[aPeer];
+  if (!entry) {
+    entry = std::make_shared<Peer>(aPeer);
   }
-  entry = std::move(socket);
-  return entry.get();
+  return entry;
 }
 
 bool
 NngTransport::Send(const PeerAddress& aPeer, std::string aBytes)
 {
-  PushSocket* socket = FindOrDial(aPeer);
-  return socket != nullptr && nng_send(socket->socket_, aBytes.data(), aBytes.size(), NNG_FLAG_NONBLOCK) == 0;
+  if (aBytes.size() + kFrameOverhead > kMaxMessageBytes) {
+    return false;
+  }
+  std::shared_ptr<Peer> peer = FindPeer(aPeer);
+  const auto now = Clock::now();
+  {
+    std::lock_guard lock(peer->mutex_);
+    if (!peer->socket_ && now >= peer->redialAt_) {
+      peer->socket_ = Dial(aPeer);
+    }
+    if (!peer->socket_ || peer->queue_.size() + peer->sending_ >= kMaxQueuedMessages) {
+      return false;
+    }
+    peer->queue_.push_back(std::move(aBytes));
+    peer->lastUse_ = now;
+    if (std::exchange(peer->scheduled_, true)) {
+      return true;
+    }
+  }
+  Schedule(std::move(peer), now + kBatchTime);
+  return true;
+}
+
+void
+NngTransport::Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime)
+{
+  {
+    std::lock_guard lock(mutex_);
+    auto place = due_.end();
+    while (place != due_.begin() && std::prev(place)->time_ > aTime) {
+      --place;
+    }
+    due_.insert(place, { aTime, std::move(aPeer) });
+  }
+  changed_.notify_all();
+}
+
+void
+NngTransport::SendLoop()
+{
+  auto nextSweep = Clock::now() + kSweepTime;
+  std::unique_lock lock(mutex_);
+  while (!ending_) {
+    const auto next = due_.empty() ? nextSweep : std::min(nextSweep, due_.front().time_);
+    if (Clock::now() < next) {
+      changed_.wait_until(lock, next);
+      continue;
+    }
+    std::shared_ptr<Peer> peer;
+    if (!due_.empty() && due_.front().time_ <= next) {
+      peer = std::move(due_.front().peer_);
+      due_.pop_front();
+    }
+    lock.unlock();
+    if (peer) {
+      Flush(peer);
+    } else {
+      CloseUnused();
+      nextSweep = Clock::now() + kSweepTime;
+    }
+    lock.lock();
+  }
+}
+
+/// Sends one frame to the peer. Messages that it does not accept go back to the head of the queue, or are dropped with
+/// the socket when it has accepted none for too long.
+void
+NngTransport::Flush(const std::shared_ptr<Peer>& aPeer)
+{
+  std::vector<std::string> batch;
+  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  {
+    std::lock_guard lock(aPeer->mutex_);
+    batch = aPeer->TakeBatch();
+    if (batch.empty() || !aPeer->socket_) {
+      aPeer->scheduled_ = false;
+      return;
+    }
+    socket = *aPeer->socket_;
+    aPeer->sending_ = batch.size();
+  }
+  std::string frame = EncodeFrame(batch);
+  const bool accepted = nng_send(socket, frame.data(), frame.size(), NNG_FLAG_NONBLOCK) == 0;
+  const auto now = Clock::now();
+  std::optional<nng_socket> closed;
+  bool again = false;
+  {
+    std::lock_guard lock(aPeer->mutex_);
+    aPeer->sending_ = 0;
+    if (accepted) {
+      aPeer->blockedSince_.reset();
+    } else if (!aPeer->blockedSince_) {
+      aPeer->blockedSince_ = now;
+    }
+    if (!accepted && now - *aPeer->blockedSince_ >= kBlockedTime) {
+      aPeer->queue_.clear();
+      closed = std::exchange(aPeer->socket_, std::nullopt);
+      aPeer->blockedSince_.reset();
+      aPeer->redialAt_ = now + kRedialTime;
+    } else if (!accepted) {
+      aPeer->queue_.insert(
+        aPeer->queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
+    }
+    aPeer->scheduled_ = !aPeer->queue_.empty();
+    again = aPeer->scheduled_;
+  }
+  if (closed) {
+    nng_close(*closed);
+  }
+  if (again) {
+    Schedule(aPeer, accepted ? now : now + kRetryTime);
+  }
+}
+
+/// Closes the sockets of peers that nothing was sent to for long, and forgets peers without a socket.
+void
+NngTransport::CloseUnused()
+{
+  std::vector<std::shared_ptr<Peer>> unused;
+  const auto now = Clock::now();
+  std::lock_guard lock(mutex_);
+  for (auto entry = peers_.begin(); entry != peers_.end();) {
+    std::lock_guard peerLock(entry->second->mutex_);
+    const bool isIdle = !entry->second->scheduled_ && now - entry->second->lastUse_ >= kIdleTime;
+    const bool isClosed = !entry->second->socket_ && now >= entry->second->redialAt_;
+    if (isIdle || isClosed) {
+      unused.push_back(entry->second);
+      entry = peers_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
 }
 
 } // namespace ibisrock::adapters
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -5,6 +5,9 @@
 #include "base/peer_transport.h"
 
 #include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -13,10 +16,12 @@
 #include <string_view>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace ibisrock::adapters {
 
-/// Messages between instances over nng pipelines: one pull socket that listens, one push socket for each peer.
+/// Messages between instances over nng pipelines: one pull socket that listens, one push socket for each peer in use.
+/// Messages to one peer within 200 us share a frame. One thread sends to all peers and one receives. Thread-safe.
 class NngTransport final : public PeerTransport
 {
 public:
@@ -28,24 +33,44 @@
 
   /// Sets what is called on the receiving thread for each message. To be called once.
   void SetReceiver(Receiver aReceiver);
+  /// Returns false only for a message that was not queued: the peer accepts nothing, its queue is full, or the message
+  /// is too large. A queued message is dropped when the peer accepts nothing for a second.
   bool Send(const PeerAddress& aPeer, std::string aBytes) override;
   /// Stops receiving. Send keeps working until destruction.
   void Stop();
 
 private:
-  struct PushSocket;
+  using Clock = std::chrono::steady_clock;
+  struct Peer;
+  /// A peer with messages to send from a point of time on.
+  struct Due
+  {
+    Clock::time_point time_;
+    std::shared_ptr<Peer> peer_;
+  };
 
   explicit NngTransport(uint32_t aPullSocket);
 
   void ReceiveLoop();
-  PushSocket* FindOrDial(const PeerAddress& aPeer);
+  void SendLoop();
+  std::shared_ptr<Peer> FindPeer(const PeerAddress& aPeer);
+  void Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime);
+  void Flush(const std::shared_ptr<Peer>& aPeer);
+  void CloseUnused();
 
   const uint32_t pullSocket_;
-  std::mutex mutex_;
+  std::mutex receiverMutex_;
   Receiver receiver_;
-  std::unordered_map<PeerAddress, std::unique_ptr<PushSocket>> pushSockets_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::unordered_map<PeerAddress, std::shared_ptr<Peer>> peers_;
+  std::deque<Due> due_;
+  bool ending_ = false;
+
   std::atomic<bool> stopped_{ false };
-  std::thread thread_;
+  std::thread receiveThread_;
+  std::thread sendThread_;
 };
 
 } // namespace ibisrock::adapters
--- /dev/null
+++ b/tests/nng_transport_test.cpp
@@ -0,0 +1,115 @@
+#include "adapters/frame.h"
+#include "adapters/nng_transport.h"
+
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace ibisrock::adapters {
+namespace {
+
+/// A transport on a free loopback port, and the messages that it received.
+struct Endpoint
+{
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> received_;
+  std::string address_;
+  std::unique_ptr<NngTransport> transport_;
+
+  explicit Endpoint(std::string aAddress = "")
+  {
+    LastReason reason;
+    for (int port = 23100; !transport_ && port < 24100; port++) {
+      address_ = aAddress.empty() ? "127.0.0.1:" + std::to_string(port) : aAddress;
+      if (auto created = NngTransport::Create(address_, reason)) {
+        transport_ = std::move(*created);
+      }
+    }
+    transport_->SetReceiver([this](std::string_view aBytes) {
+      std::lock_guard lock(mutex_);
+      received_.emplace_back(aBytes);
+      changed_.notify_all();
+    });
+  }
+  ~Endpoint() { transport_->Stop(); }
+
+  std::vector<std::string> Received()
+  {
+    std::lock_guard lock(mutex_);
+    return received_;
+  }
+};
+
+// Guards against messages that batching loses, doubles, reorders or alters.
+TEST(Frame, KeepsMessages)
+{
+  const std::vector<std::string> messages{ "a", "", std::string(70000, 'x'), std::string("\0\xff", 2) };
+  std::vector<std::string> decoded;
+  const auto collect = [&decoded](std::string_view aBytes) { decoded.emplace_back(aBytes); };
+  const std::string frame = EncodeFrame(messages);
+  DecodeFrame(frame, collect);
+  EXPECT_EQ(decoded, messages);
+  decoded.clear();
+  for (const std::string& malformed :
+       { std::string(), frame.substr(0, 5), std::string("\x91\x01"), std::string("x") }) {
+    DecodeFrame(malformed, collect);
+  }
+  EXPECT_TRUE(decoded.empty());
+}
+
+// Guards against a message that arrives although its sender was told that it was certainly not sent, and against one
+// that arrives twice or out of order. Sends until enough have arrived, however long that takes.
+TEST(NngTransport, DeliversOnlyWhatItReportsAsSent)
+{
+  constexpr size_t kEnough = 5000;
+  Endpoint from;
+  Endpoint to;
+  std::set<int> refused;
+  int number = 0;
+  while (to.Received().size() < kEnough) {
+    for (int burst = 0; burst < 100; burst++, number++) {
+      if (!from.transport_->Send(PeerAddress(to.address_), std::to_string(number))) {
+        refused.insert(number);
+      }
+    }
+  }
+  int last = -1;
+  for (const std::string& message : to.Received()) {
+    const int received = std::stoi(message);
+    EXPECT_GT(received, last);
+    EXPECT_FALSE(refused.contains(received));
+    last = received;
+  }
+}
+
+// Guards against messages that a peer gets when it comes back although they were queued while it was gone.
+TEST(NngTransport, ReturningPeerGetsNoOldMessages)
+{
+  Endpoint from;
+  auto first = std::make_unique<Endpoint>();
+  const std::string address = first->address_;
+  while (first->Received().empty()) {
+    from.transport_->Send(PeerAddress(address), "before");
+  }
+  first.reset();
+  while (from.transport_->Send(PeerAddress(address), "while gone")) {
+    std::this_thread::yield();
+  }
+  // A full queue accepts messages again only after it has been dropped, because nobody takes them.
+  while (!from.transport_->Send(PeerAddress(address), "redialled")) {
+    std::this_thread::yield();
+  }
+  Endpoint second(address);
+  while (second.Received().empty()) {
+    from.transport_->Send(PeerAddress(address), "after");
+  }
+  for (const std::string& message : second.Received()) {
+    EXPECT_TRUE(message == "redialled" || message == "after") << message;
+  }
+}
+
+} // namespace
+} // namespace ibisrock::adapters
