--- a/src/fakes/fake_fleet.cpp
+++ b/src/fakes/fake_fleet.cpp
@@ -18,7 +18,8 @@
 
 FleetNode::FleetNode(FakeNetwork& aNetwork, Environment aPlatform, InstanceIdentity aSelf)
   : self_(std::move(aSelf))
-  , timers_(aPlatform.timers_)
+  , gate_(std::make_shared<ProcessGate>())
+  , timers_(aPlatform.timers_, gate_)
   , transport_(aNetwork, self_.address_)
   , environment_{ timers_, aPlatform.random_, transport_, aPlatform.targets_, aPlatform.store_, aPlatform.instances_ }
   , membership_(self_, environment_)
@@ -104,7 +105,9 @@
     network_,
     Environment{ timers_, random_, unusedTransport_, targets_, store_, list_ },
     InstanceIdentity{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(lastIncarnation_) });
-  network_.Attach(listed.address_, [node = nodes_[aIndex].get()](std::string_view aBytes) { node->Receive(aBytes); });
+  network_.Attach(listed.address_, [node = nodes_[aIndex].get()](std::string_view aBytes) {
+    node->gate_->Pass([node, bytes = std::string(aBytes)] { node->Receive(bytes); });
+  });
   nodes_[aIndex]->prober_.Start();
 }
 
@@ -126,7 +129,7 @@
 FakeFleet::Kill(size_t aIndex)
 {
   network_.Detach(Listed(aIndex).address_);
-  nodes_[aIndex]->timers_.Stop();
+  nodes_[aIndex]->gate_->Kill();
   ended_.push_back(std::move(nodes_[aIndex]));
 }
 
@@ -134,11 +137,9 @@
 FakeFleet::SetFrozen(size_t aIndex, bool aFrozen)
 {
   if (aFrozen) {
-    nodes_[aIndex]->timers_.SetFrozen(true);
-  }
-  network_.SetFrozen(Listed(aIndex).address_, aFrozen);
-  if (!aFrozen) {
-    nodes_[aIndex]->timers_.SetFrozen(false);
+    nodes_[aIndex]->gate_->Freeze();
+  } else {
+    nodes_[aIndex]->gate_->Thaw();
   }
 }
 
--- a/src/fakes/fake_fleet.h
+++ b/src/fakes/fake_fleet.h
@@ -2,7 +2,7 @@
 #define IBISROCK_FAKES_FAKE_FLEET_H
 
 #include "fakes/fake_cluster.h"
-#include "fakes/freezable_timers.h"
+#include "fakes/process_gate.h"
 #include "process/gossip.h"
 #include "process/membership.h"
 #include "process/prober.h"
@@ -29,7 +29,8 @@
   void Publish(uint64_t aVersion);
 
   const InstanceIdentity self_;
-  FreezableTimers timers_;
+  const std::shared_ptr<ProcessGate> gate_;
+  GatedTimers timers_;
   FakeTransport transport_;
   Environment environment_;
   Membership membership_;
@@ -54,7 +55,7 @@
   void Launch(size_t aIndex);
   /// Ends a node at once, as a crash does.
   void Kill(size_t aIndex);
-  /// Stops a node's timers and messages as a paused process does, or resumes it. Messages are read before timers run.
+  /// Stops a node's timers and messages as a paused process does, or resumes it.
   void SetFrozen(size_t aIndex, bool aFrozen);
   /// Loses all messages between nodes below aSplit and the others, in one or both directions.
   void SetSplit(size_t aSplit, bool aUp, bool aDown);
--- a/tests/pause_test.cpp
+++ b/tests/pause_test.cpp
@@ -56,10 +56,10 @@
   cluster.timers_.Advance(Millis(400));
   ASSERT_EQ(replies.size(), 1U);
   EXPECT_EQ(replies[0].reply_.verdict_, Verdict::Ran);
-  cluster.SetFrozen(0, true);
+  cluster.Freeze(0);
   send(2);
   cluster.timers_.Advance(GetParam().frozen_);
-  cluster.SetFrozen(0, false);
+  cluster.Thaw(0);
   cluster.timers_.Advance(Millis(400));
   ASSERT_EQ(replies.size(), 2U);
   EXPECT_EQ(replies[1].reply_.reason_, GetParam().reason_);
