--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -19,7 +19,7 @@
   std::string address_;
   std::unique_ptr<NngTransport> transport_;
 
-  explicit Endpoint(std::string aAddress = "")
+  explicit Endpoint(const std::string& aAddress = "")
   {
     LastReason reason;
     for (int port = 23100; !transport_ && port < 24100; port++) {
