--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -13,6 +13,8 @@
 
 constexpr Micros kStartStep = Millis(10);
 constexpr unsigned kMaxStartSteps = 3000;
+/// Start times of real processes differ by far more than the incarnations that refutations add.
+constexpr uint64_t kIncarnationStep = 1000;
 
 } // namespace
 
@@ -22,6 +24,7 @@
   std::optional<std::vector<ListedInstance>> listed;
   {
     std::lock_guard lock(mutex_);
+    fetches_++;
     if (available_) {
       listed = listed_;
     }
@@ -43,6 +46,13 @@
   available_ = aAvailable;
 }
 
+uint64_t
+FakeInstanceList::Fetches() const
+{
+  std::lock_guard lock(mutex_);
+  return fetches_;
+}
+
 FakeCluster::FakeCluster(const ClusterShape& aShape, uint64_t aSeed)
   : random_(aSeed)
   , network_(timers_)
@@ -119,7 +129,8 @@
   running->timers_ = std::make_unique<GatedTimers>(timers_, running->gate_);
   running->targets_ = std::make_unique<GatedTargets>(targets_, running->gate_);
   running->store_ = std::make_unique<GatedStore>(store_, running->gate_);
-  const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(++lastIncarnation_) };
+  lastIncarnation_ += kIncarnationStep;
+  const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(lastIncarnation_) };
   LastReason reason;
   const Environment environment{ *running->timers_,  random_,          *running->transport_,
                                  *running->targets_, *running->store_, list_ };
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -21,9 +21,11 @@
   void Set(std::vector<ListedInstance> aListed);
   /// While unavailable every fetch answers with no value.
   void SetAvailable(bool aAvailable);
+  uint64_t Fetches() const;
 
 private:
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
+  uint64_t fetches_ = 0;
   bool available_ = true;
   std::vector<ListedInstance> listed_;
 };
