Send each attempt to a target exactly once and end it at its deadline

Cause: cxxtools sends a request again when a connection that was open before the request is closed without a reply. Time-outs of the synchronous client hold for each read, so a target that sends a byte now and then kept a thread beyond any deadline. A connect failure while the library connected again on a kept connection was reported as NotRun. Change: all attempts, idempotent ones too, use a new client that connects as part of the request, through the asynchronous interface under one deadline. A connect time-out is NotRun only if the connection had no event. The number of connections is limited by a value given with the attempt. TargetClient gets Probe, which reads the health endpoint. Ways weighed: a check before reuse does not help, because the peer closes after it has read the request; prepareConnect() with another address, meant to make a resend impossible, closes the connection; a connect time-out of 0 does not stop a resend on loopback; reuse only for known good requests would still send the first crashing one twice. A target whose connections take 6 ms pays 6 ms for each attempt. Limit: the asynchronous client does not read chunked replies; such a reply is MayHaveRun.

--- a/src/adapters/http_target_client.cpp
+++ b/src/adapters/http_target_client.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Micros kCancelTimeout = Millis(200);
+constexpr Micros kProbeTimeout = Millis(500);
 
 std::string
 HeaderOf(const HttpOutcome& aOutcome, const char* aName)
@@ -66,20 +67,30 @@
   }
 }
 
-} // namespace
-
+/// Reads what the target says of itself in the headers of any complete reply.
 TargetReply
-ToTargetReply(const HttpOutcome& aOutcome)
+DescribeTarget(const HttpOutcome& aOutcome)
 {
   TargetReply reply;
   reply.verdict_ = aOutcome.verdict_;
   reply.reason_ = aOutcome.reason_;
+  if (aOutcome.verdict_ == Verdict::Ran) {
+    reply.state_ = StateFromText(HeaderOf(aOutcome, kTargetStateHeader));
+    reply.boot_ = BootId(HeaderOf(aOutcome, kBootHeader));
+    reply.held_ = VersionsFromText(HeaderOf(aOutcome, kHeldVersionsHeader));
+  }
+  return reply;
+}
+
+} // namespace
+
+TargetReply
+ToTargetReply(const HttpOutcome& aOutcome)
+{
+  TargetReply reply = DescribeTarget(aOutcome);
   if (aOutcome.verdict_ != Verdict::Ran) {
     return reply;
   }
-  reply.state_ = StateFromText(HeaderOf(aOutcome, kTargetStateHeader));
-  reply.boot_ = BootId(HeaderOf(aOutcome, kBootHeader));
-  reply.held_ = VersionsFromText(HeaderOf(aOutcome, kHeldVersionsHeader));
   reply.version_ = VersionFromText(HeaderOf(aOutcome, kIndexVersionHeader));
   const std::string notRun = HeaderOf(aOutcome, kNotRunHeader);
   if (aOutcome.status_ != 200 && !notRun.empty()) {
@@ -122,7 +133,9 @@
                     { kIdempotentHeader, aAttempt.idempotent_ ? "yes" : "no" } };
   call.body_ = aAttempt.body_;
   call.timeout_ = aAttempt.budget_;
-  call.freshConnection_ = !aAttempt.idempotent_;
+  // Idempotent attempts too: a request that crashes its target must not be sent to it a second time.
+  call.freshConnection_ = true;
+  call.maxConnections_ = aAttempt.maxConnections_;
   return ToTargetReply(caller_.Call(call));
 }
 
@@ -149,4 +162,17 @@
   });
 }
 
+void
+HttpTargetClient::Probe(const TargetName& /*aTarget*/, const TargetAddress& aAddress, Callback aCallback)
+{
+  workers_.Add([this, aAddress, callback = std::move(aCallback)] {
+    HttpCall call;
+    call.address_ = aAddress.Value();
+    call.url_ = "/health";
+    call.timeout_ = kProbeTimeout;
+    call.freshConnection_ = true;
+    callback(DescribeTarget(caller_.Call(call)));
+  });
+}
+
 } // namespace ibisrock::adapters
--- a/src/adapters/http_target_client.h
+++ b/src/adapters/http_target_client.h
@@ -21,6 +21,7 @@
 
   void Start(const TargetAttempt& aAttempt, Callback aCallback) override;
   void Cancel(const AttemptId& aId) override;
+  void Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback) override;
 
 private:
   TargetReply Run(const TargetAttempt& aAttempt);
--- a/src/adapters/target_protocol.h
+++ b/src/adapters/target_protocol.h
@@ -4,7 +4,8 @@
 namespace ibisrock::adapters {
 
 /// HTTP between owners and targets: POST /search/<service>/<shard> with the query as body; the reply is JSON
-/// {"matches":[{"id":...,"text":...}]}. POST /cancel with the attempt id stops an attempt.
+/// {"matches":[{"id":...,"text":...}]} with a Content-Length; a chunked reply is not read and counts as lost. POST
+/// /cancel with the attempt id stops an attempt.
 inline constexpr const char* kAttemptHeader = "Ibisrock-Attempt";
 inline constexpr const char* kIndexVersionHeader = "Ibisrock-Index-Version";
 inline constexpr const char* kDeadlineHeader = "Ibisrock-Deadline-Ms";
--- a/src/base/target_client.h
+++ b/src/base/target_client.h
@@ -39,10 +39,12 @@
   TargetAddress address_;
   IndexVersion version_;
   std::string body_;
-  /// False forbids any automatic resend by a transport library.
+  /// Passed on to the target. No attempt is ever sent more than once, whatever this says.
   bool idempotent_ = true;
   /// Time that the target may use, passed on to it as a deadline.
   Micros budget_{};
+  /// Connections to the target that this instance may have open for attempts at the same time; 0 for no limit.
+  uint32_t maxConnections_ = 0;
 };
 
 /// Outcome of an attempt. verdict_ is Ran only when matches_ is complete for version_.
@@ -70,6 +72,9 @@
   virtual void Start(const TargetAttempt& aAttempt, Callback aCallback) = 0;
   /// Asks the target to stop an attempt, without a promise that it does.
   virtual void Cancel(const AttemptId& aId) = 0;
+  /// Reads the target's health endpoint, which lags or misleads. aCallback is called exactly once, on any thread, within
+  /// about a second. The verdict is Ran when there was an answer; state_, boot_ and held_ are what it said.
+  virtual void Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback) = 0;
 };
 
 } // namespace ibisrock
--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -174,6 +174,21 @@
   Answer(std::move(callback), Lost(Reason::Cancelled), 2 * kTargetDelay);
 }
 
+void
+FakeTargets::Probe(const TargetName& aTarget, const TargetAddress& /*aAddress*/, Callback aCallback)
+{
+  TargetReply reply = Refusal({}, Reason::ConnectFailed);
+  {
+    std::lock_guard lock(mutex_);
+    const FakeTarget& target = targets_[aTarget];
+    if (!target.down_) {
+      reply = DescribeTarget(target, aTarget);
+      reply.verdict_ = Verdict::Ran;
+    }
+  }
+  Answer(std::move(aCallback), std::move(reply), 2 * kTargetDelay);
+}
+
 void
 FakeTargets::Crash(const TargetName& aName)
 {
--- a/src/fakes/fake_targets.h
+++ b/src/fakes/fake_targets.h
@@ -53,6 +53,7 @@
 
   void Start(const TargetAttempt& aAttempt, Callback aCallback) override;
   void Cancel(const AttemptId& aId) override;
+  void Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback) override;
 
   /// Adds a target or replaces its behaviour. Requests in flight go on.
   void Set(const TargetName& aName, const FakeTarget& aTarget);
--- /dev/null
+++ b/tests/target_client_test.cpp
@@ -0,0 +1,142 @@
+#include "adapters/http_target_client.h"
+#include "adapters/target_protocol.h"
+#include "raw_target.h"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace ibisrock::adapters {
+namespace {
+
+constexpr unsigned short kPort = 18951;
+
+std::string
+Reply(const std::string& aStatus, const std::string& aBody, size_t aLength)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nContent-Length: " + std::to_string(aLength) + "\r\n\r\n" + aBody;
+}
+
+const std::string kWhole = R"({"matches":[{"id":"a","text":"x"}]})";
+
+void
+AnswerWhole(RawConnection& aConnection)
+{
+  aConnection.Write(Reply("200 OK", kWhole, kWhole.size()));
+}
+
+/// The asynchronous client of cxxtools does not read chunked replies; targets have to send a Content-Length.
+void
+AnswerChunked(RawConnection& aConnection)
+{
+  aConnection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n" + kWhole + "\r\n0\r\n\r\n");
+}
+
+void
+Truncate(RawConnection& aConnection)
+{
+  aConnection.Write(Reply("200 OK", kWhole, kWhole.size() + 1));
+}
+
+void
+Shed(RawConnection& aConnection)
+{
+  aConnection.Write(std::string("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n") + kNotRunHeader + ": overloaded\r\n\r\n");
+}
+
+/// Sends bytes so often that no single read times out, until the client gives up.
+void
+Trickle(RawConnection& aConnection)
+{
+  aConnection.Write(Reply("200 OK", "", 1000000));
+  while (true) {
+    aConnection.Write(" ");
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
+
+TargetReply
+RunAttempt(TargetClient& aClient, bool aIdempotent, unsigned short aPort, const std::string& aBody)
+{
+  TargetAttempt attempt;
+  attempt.address_ = TargetAddress("127.0.0.1:" + std::to_string(aPort));
+  attempt.idempotent_ = aIdempotent;
+  attempt.body_ = aBody;
+  attempt.budget_ = Millis(300);
+  attempt.maxConnections_ = 1;
+  std::promise<TargetReply> promise;
+  aClient.Start(attempt, [&promise](TargetReply aReply) { promise.set_value(std::move(aReply)); });
+  return promise.get_future().get();
+}
+
+struct SocketCase
+{
+  const char* name_;
+  void (*script_)(RawConnection&);
+  Verdict verdict_;
+  Reason reason_;
+};
+
+class TargetOnSocket : public testing::TestWithParam<std::tuple<SocketCase, bool>>
+{};
+
+// Guards against a second send by the HTTP library, against a false "not run", and against an attempt that outlives its
+// deadline because each single read is in time.
+TEST_P(TargetOnSocket, IsSentEachAttemptOnce)
+{
+  const auto& [param, idempotent] = GetParam();
+  RawTarget target(kPort, param.script_);
+  HttpTargetClient client(1);
+  for (unsigned attempt = 1; attempt <= 2; attempt++) {
+    const TargetReply reply = RunAttempt(client, idempotent, kPort, RawTarget::kEndOfBody);
+    EXPECT_EQ(reply.verdict_, param.verdict_);
+    EXPECT_EQ(reply.reason_, param.reason_);
+    EXPECT_EQ(reply.matches_.size(), param.verdict_ == Verdict::Ran ? 1 : 0);
+    EXPECT_EQ(target.Seen(), attempt);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Replies,
+  TargetOnSocket,
+  testing::Combine(
+    testing::Values(SocketCase{ "Whole", AnswerWhole, Verdict::Ran, Reason::None },
+                    SocketCase{ "Chunked", AnswerChunked, Verdict::MayHaveRun, Reason::ConnectionLost },
+                    SocketCase{ "Shed", Shed, Verdict::NotRun, Reason::Overloaded },
+                    SocketCase{ "Closed", [](RawConnection&) {}, Verdict::MayHaveRun, Reason::ConnectionLost },
+                    SocketCase{ "Truncated", Truncate, Verdict::MayHaveRun, Reason::ConnectionLost },
+                    SocketCase{ "Trickled", Trickle, Verdict::MayHaveRun, Reason::TimedOut }),
+    testing::Bool()),
+  [](const auto& aInfo) {
+    return std::string(std::get<0>(aInfo.param).name_) + (std::get<1>(aInfo.param) ? "Idempotent" : "NonIdempotent");
+  });
+
+// Guards against an attempt that was never sent being reported as one that may have run.
+TEST(TargetConnect, FailureIsNotRun)
+{
+  HttpTargetClient client(1);
+  const TargetReply refused = RunAttempt(client, true, 1, "x");
+  EXPECT_EQ(refused.verdict_, Verdict::NotRun);
+  EXPECT_EQ(refused.reason_, Reason::ConnectFailed);
+
+  SilentTarget full(kPort, true);
+  const TargetReply timedOut = RunAttempt(client, true, kPort, "x");
+  EXPECT_EQ(timedOut.verdict_, Verdict::NotRun);
+  EXPECT_EQ(timedOut.reason_, Reason::ConnectFailed);
+}
+
+// Guards against a request that was written in part, or written to a peer that never reads it, being reported as not
+// run. A body of 64 MB does not fit into the socket buffers.
+TEST(TargetConnect, UnreadRequestMayHaveRun)
+{
+  HttpTargetClient client(1);
+  SilentTarget silent(kPort, false);
+  for (size_t size : { size_t(1), size_t(64) << 20U }) {
+    const TargetReply reply = RunAttempt(client, true, kPort, std::string(size, 'x'));
+    EXPECT_EQ(reply.verdict_, Verdict::MayHaveRun);
+    EXPECT_EQ(reply.reason_, Reason::TimedOut);
+  }
+}
+
+} // namespace
+} // namespace ibisrock::adapters
