Complete the replica dispatcher

Cause: the dispatcher was a first-come queue without refusals. Change: queue with turns between callers and deadline order within a turn; refusal as overloaded when the estimated wait passes the deadline; expired and cancelled work leaves the queue; a canary runs alone; back-off with one probe after connect failures; ramp over 10 s after a restart, an ejection or a warming mark; a leaving mark that holds until a new boot id, read from the health endpoint once a second because a leaving target gets no attempts. The number of attempts in flight at a loss counts those whose losses are reported later, so that the last one reported does not take the blame alone.

--- a/src/connection/replica_dispatcher.cpp
+++ b/src/connection/replica_dispatcher.cpp
@@ -1,21 +1,19 @@
 #include "connection/replica_dispatcher.h"
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace ibisrock {
 
 namespace {
 
-wire::SubReply
-Refusal(const AttemptId& aId, Reason aReason)
-{
-  wire::SubReply reply;
-  reply.id_ = aId;
-  reply.reply_.verdict_ = Verdict::NotRun;
-  reply.reply_.reason_ = aReason;
-  return reply;
-}
+/// Weight of the newest attempt in the average service time is one in kServiceTimeShare.
+constexpr int kServiceTimeShare = 8;
+/// Connections lost within this time of each other count as one crash: the later attempt may have been sent to a
+/// process that was already failing, so it does not get the blame alone.
+constexpr Micros kLossWindow = Seconds(1);
+/// Time between looks at the health endpoint of a leaving target, which gets no work that could show its new boot id.
+constexpr Micros kProbeInterval = Seconds(1);
 
 } // namespace
 
@@ -29,37 +27,78 @@
   : target_(std::move(aTarget))
   , timers_(aTimers)
   , client_(aClient)
+  , gate_(target_.slots_)
+{
+}
+
+/// Needs the lock.
+wire::SubReply
+ReplicaDispatcher::Refusal(const AttemptId& aId, Reason aReason) const
+{
+  wire::SubReply reply;
+  reply.id_ = aId;
+  reply.reply_.verdict_ = Verdict::NotRun;
+  reply.reply_.reason_ = aReason;
+  reply.queueLength_ = static_cast<uint32_t>(queue_.Size());
+  return reply;
+}
+
+/// Needs the lock. The expected wait is an estimate: it takes each attempt ahead as one average service time on one of
+/// the slots that are open now.
+Reason
+ReplicaDispatcher::Admit(const wire::SubRequest& aRequest, TimePoint aNow) const
 {
+  if (aRequest.budget_ <= Micros::zero()) {
+    return Reason::Expired;
+  }
+  const Reason reason = gate_.Admit(aNow, running_.empty() && queue_.Size() == 0);
+  if (reason != Reason::None) {
+    return reason;
+  }
+  const uint32_t slots = gate_.SlotsAt(aNow);
+  if (running_.size() + queue_.Size() < slots) {
+    return Reason::None;
+  }
+  const auto ahead = static_cast<int64_t>(queue_.CountAhead(aRequest.caller_, aNow + aRequest.budget_));
+  const Micros wait = serviceTime_ * (ahead + 1) / static_cast<int64_t>(std::max(slots, 1U));
+  return wait >= aRequest.budget_ ? Reason::Overloaded : Reason::None;
 }
 
 void
 ReplicaDispatcher::Submit(const wire::SubRequest& aRequest, Callback aCallback)
 {
-  {
-    std::lock_guard lock(mutex_);
-    const TimePoint now = timers_.Now();
-    queue_.push_back({ aRequest, now, now + aRequest.budget_, std::move(aCallback) });
+  std::unique_lock lock(mutex_);
+  const TimePoint now = timers_.Now();
+  const Reason reason = Admit(aRequest, now);
+  if (reason != Reason::None) {
+    const wire::SubReply refusal = Refusal(aRequest.id_, reason);
+    lock.unlock();
+    aCallback(refusal);
+    return;
   }
+  queue_.Add({ aRequest, now, now + aRequest.budget_, std::move(aCallback) });
+  lock.unlock();
   StartNext();
 }
 
 void
 ReplicaDispatcher::Cancel(const AttemptId& aId)
 {
-  Callback dropped;
+  std::optional<WaitingAttempt> dropped;
+  wire::SubReply reply;
   {
     std::lock_guard lock(mutex_);
-    auto waiting = std::find_if(
-      queue_.begin(), queue_.end(), [&aId](const Waiting& aWaiting) { return aWaiting.request_.id_ == aId; });
-    if (waiting != queue_.end()) {
-      dropped = std::move(waiting->callback_);
-      queue_.erase(waiting);
-    } else if (!running_.contains(aId)) {
+    dropped = queue_.Remove(aId);
+    if (!dropped && !running_.contains(aId)) {
       return;
     }
+    reply = Refusal(aId, Reason::Cancelled);
   }
   if (dropped) {
-    dropped(Refusal(aId, Reason::Cancelled));
+    reply.queueWait_ = timers_.Now() - dropped->arrived_;
+    dropped->callback_(reply);
+    // The dropped attempt may have been a canary that held the others back.
+    StartNext();
   } else {
     client_.Cancel(aId);
   }
@@ -69,68 +108,160 @@
 ReplicaDispatcher::IsIdle() const
 {
   std::lock_guard lock(mutex_);
-  return queue_.empty() && running_.empty();
+  return queue_.Size() == 0 && running_.empty();
 }
 
-/// Starts waiting attempts while slots are free; attempts that expired while waiting are refused.
+/// Takes out of the queue what expired, and everything when the target takes no new work. Needs the lock.
+void
+ReplicaDispatcher::RefuseWaiting(TimePoint aNow, std::vector<Refused>& aRefused)
+{
+  for (WaitingAttempt& expired : queue_.TakeExpired(aNow)) {
+    aRefused.push_back({ std::move(expired), Reason::Expired });
+  }
+  const Reason reason = gate_.Admit(aNow, running_.empty());
+  if (reason != Reason::None) {
+    for (WaitingAttempt& waiting : queue_.TakeAll()) {
+      aRefused.push_back({ std::move(waiting), reason });
+    }
+  }
+}
+
+/// Needs the lock. A canary runs alone: it waits until nothing runs, and nothing overtakes it meanwhile.
+bool
+ReplicaDispatcher::MayStart(const WaitingAttempt& aNext, TimePoint aNow) const
+{
+  if (running_.empty()) {
+    return true;
+  }
+  const bool canaryRuns = running_.size() == 1 && running_.begin()->second.alone_;
+  return !aNext.request_.alone_ && !canaryRuns && running_.size() < gate_.SlotsAt(aNow);
+}
+
+/// Starts waiting attempts while slots are free and refuses those that can no longer run.
 void
 ReplicaDispatcher::StartNext()
 {
-  while (true) {
-    std::optional<Waiting> next;
-    bool expired = false;
-    {
-      std::lock_guard lock(mutex_);
-      if (queue_.empty()) {
-        return;
-      }
-      const TimePoint now = timers_.Now();
-      expired = queue_.front().deadline_ <= now;
-      if (!expired && running_.size() >= target_.slots_) {
-        return;
-      }
-      next = std::move(queue_.front());
-      queue_.pop_front();
-      if (!expired) {
-        running_.emplace(next->request_.id_, now);
-      }
+  std::vector<Refused> refused;
+  std::vector<WaitingAttempt> started;
+  std::vector<wire::SubReply> replies;
+  {
+    std::lock_guard lock(mutex_);
+    const TimePoint now = timers_.Now();
+    RefuseWaiting(now, refused);
+    for (const WaitingAttempt* next = queue_.Next(); next != nullptr && MayStart(*next, now); next = queue_.Next()) {
+      started.push_back(queue_.TakeNext());
+      const wire::SubRequest& request = started.back().request_;
+      running_[request.id_] = { now, request.alone_, 0 };
     }
-    if (expired) {
-      next->callback_(Refusal(next->request_.id_, Reason::Expired));
-    } else {
-      StartAttempt(std::move(*next));
+    for (const Refused& entry : refused) {
+      replies.push_back(Refusal(entry.attempt_.request_.id_, entry.reason_));
+      replies.back().queueWait_ = now - entry.attempt_.arrived_;
     }
   }
+  for (size_t index = 0; index < refused.size(); index++) {
+    refused[index].attempt_.callback_(replies[index]);
+  }
+  for (WaitingAttempt& attempt : started) {
+    StartAttempt(std::move(attempt));
+  }
 }
 
 void
-ReplicaDispatcher::StartAttempt(Waiting aWaiting)
+ReplicaDispatcher::StartAttempt(WaitingAttempt aWaiting)
 {
   const wire::SubRequest& request = aWaiting.request_;
   const TimePoint now = timers_.Now();
-  const TargetAttempt attempt{ request.id_,     request.service_,    request.shard_,
-                               request.target_, target_.address_,    request.version_,
-                               request.body_,   request.idempotent_, aWaiting.deadline_ - now };
+  const TargetAttempt attempt{ request.id_,
+                               request.service_,
+                               request.shard_,
+                               request.target_,
+                               target_.address_,
+                               request.version_,
+                               request.body_,
+                               request.idempotent_,
+                               aWaiting.deadline_ - now,
+                               std::max(target_.connections_ / 2, 1U) };
   const Micros waited = now - aWaiting.arrived_;
-  client_.Start(attempt,
-                [self = shared_from_this(), id = request.id_, waited, callback = std::move(aWaiting.callback_)](
-                  TargetReply aReply) {
-                  wire::SubReply reply;
-                  reply.id_ = id;
-                  reply.reply_ = std::move(aReply);
-                  reply.touchedTarget_ = true;
-                  reply.queueWait_ = waited;
-                  {
-                    std::lock_guard lock(self->mutex_);
-                    if (reply.reply_.reason_ == Reason::ConnectionLost) {
-                      reply.inFlightAtLoss_ = static_cast<uint32_t>(self->running_.size());
-                    }
-                    self->running_.erase(id);
-                    reply.queueLength_ = static_cast<uint32_t>(self->queue_.size());
-                  }
-                  self->StartNext();
-                  callback(reply);
-                });
+  // Only the id, the callback and the canary mark are needed after the start; the body is not kept twice.
+  aWaiting.request_.body_.clear();
+  client_.Start(attempt, [self = shared_from_this(), waited, waiting = std::move(aWaiting)](TargetReply aReply) {
+    self->OnReply(waiting, waited, std::move(aReply));
+  });
+}
+
+void
+ReplicaDispatcher::OnReply(const WaitingAttempt& aAttempt, Micros aWaited, TargetReply aReply)
+{
+  wire::SubReply reply;
+  reply.id_ = aAttempt.request_.id_;
+  reply.touchedTarget_ = true;
+  reply.queueWait_ = aWaited;
+  bool leaving = false;
+  {
+    std::lock_guard lock(mutex_);
+    const TimePoint now = timers_.Now();
+    auto found = running_.find(reply.id_);
+    if (aReply.reason_ == Reason::ConnectionLost) {
+      reply.inFlightAtLoss_ = NoteLoss(found->second, now);
+    } else if (aReply.verdict_ == Verdict::Ran) {
+      const Micros took = now - found->second.started_;
+      serviceTime_ = serviceTime_ == Micros::zero() ? took : serviceTime_ + (took - serviceTime_) / kServiceTimeShare;
+    }
+    running_.erase(found);
+    gate_.OnReply(aReply, now);
+    leaving = gate_.IsLeaving() && !std::exchange(probing_, gate_.IsLeaving());
+    reply.queueLength_ = static_cast<uint32_t>(queue_.Size());
+  }
+  reply.reply_ = std::move(aReply);
+  if (leaving) {
+    ProbeLater();
+  }
+  StartNext();
+  aAttempt.callback_(std::move(reply));
+}
+
+/// Counts the attempts that were in flight when the target lost its connections, although their losses are reported one
+/// after another: the last one reported was not alone. Needs the lock.
+uint32_t
+ReplicaDispatcher::NoteLoss(const Running& aLost, TimePoint aNow)
+{
+  const auto inFlight = static_cast<uint32_t>(running_.size());
+  const bool afterOther = lastLoss_ && aNow - *lastLoss_ < kLossWindow;
+  const uint32_t counted = std::max({ inFlight, aLost.inFlightAtLoss_, afterOther ? 2U : 1U });
+  for (auto& [id, running] : running_) {
+    running.inFlightAtLoss_ = std::max(running.inFlightAtLoss_, inFlight);
+  }
+  lastLoss_ = aNow;
+  return counted;
+}
+
+void
+ReplicaDispatcher::ProbeLater()
+{
+  timers_.After(kProbeInterval, [weak = weak_from_this()] {
+    if (auto self = weak.lock()) {
+      self->client_.Probe(self->target_.name_, self->target_.address_, [weak](const TargetReply& aReply) {
+        if (auto probed = weak.lock()) {
+          probed->OnHealth(aReply);
+        }
+      });
+    }
+  });
+}
+
+/// Ends the leaving mark when the health endpoint shows a new boot id, else looks again later.
+void
+ReplicaDispatcher::OnHealth(const TargetReply& aReply)
+{
+  {
+    std::lock_guard lock(mutex_);
+    gate_.OnHealth(aReply, timers_.Now());
+    probing_ = gate_.IsLeaving();
+    if (!probing_) {
+      return;
+    }
+  }
+  ProbeLater();
 }
 
 } // namespace ibisrock
--- a/src/connection/replica_dispatcher.h
+++ b/src/connection/replica_dispatcher.h
@@ -3,17 +3,18 @@
 
 #include "base/target_client.h"
 #include "base/timer_service.h"
-#include "request/attempt_sender.h"
+#include "connection/attempt_queue.h"
+#include "connection/target_gate.h"
 #include "version/configuration.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
 
 namespace ibisrock {
 
-/// Runs all attempts of one owned replica within its slots. Thread-safe.
+/// Runs all attempts of one owned replica within its slots. An attempt that cannot run in time is refused at once, so
+/// that it can be tried elsewhere. Thread-safe.
 class ReplicaDispatcher : public std::enable_shared_from_this<ReplicaDispatcher>
 {
 public:
@@ -21,7 +22,7 @@
 
   static std::shared_ptr<ReplicaDispatcher> Create(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient);
 
-  /// Runs the attempt now or when a slot is free. aCallback is called exactly once.
+  /// Runs the attempt now or when a slot is free, or refuses it with NotRun. aCallback is called exactly once.
   void Submit(const wire::SubRequest& aRequest, Callback aCallback);
   /// Drops a waiting attempt or asks the target to stop a running one.
   void Cancel(const AttemptId& aId);
@@ -29,26 +30,44 @@
   bool IsIdle() const;
 
 private:
-  struct Waiting
+  struct Running
   {
-    wire::SubRequest request_;
-    TimePoint arrived_;
-    TimePoint deadline_;
-    Callback callback_;
+    TimePoint started_;
+    bool alone_ = false;
+    /// Attempts in flight when another one lost its connection, this one included; 0 when none did.
+    uint32_t inFlightAtLoss_ = 0;
+  };
+  struct Refused
+  {
+    WaitingAttempt attempt_;
+    Reason reason_ = Reason::None;
   };
 
   ReplicaDispatcher(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient);
 
+  Reason Admit(const wire::SubRequest& aRequest, TimePoint aNow) const;
+  void RefuseWaiting(TimePoint aNow, std::vector<Refused>& aRefused);
+  bool MayStart(const WaitingAttempt& aNext, TimePoint aNow) const;
   void StartNext();
-  void StartAttempt(Waiting aWaiting);
+  void StartAttempt(WaitingAttempt aWaiting);
+  void OnReply(const WaitingAttempt& aAttempt, Micros aWaited, TargetReply aReply);
+  uint32_t NoteLoss(const Running& aLost, TimePoint aNow);
+  void ProbeLater();
+  void OnHealth(const TargetReply& aReply);
+  wire::SubReply Refusal(const AttemptId& aId, Reason aReason) const;
 
   const TargetConfig target_;
   TimerService& timers_;
   TargetClient& client_;
 
   mutable std::mutex mutex_;
-  std::deque<Waiting> queue_;
-  std::map<AttemptId, TimePoint> running_;
+  AttemptQueue queue_;
+  std::map<AttemptId, Running> running_;
+  TargetGate gate_;
+  /// Moving average of the time that complete attempts took on the target; zero until the first one.
+  Micros serviceTime_{};
+  std::optional<TimePoint> lastLoss_;
+  bool probing_ = false;
 };
 
 } // namespace ibisrock
--- /dev/null
+++ b/src/connection/target_gate.cpp
@@ -0,0 +1,111 @@
+#include "connection/target_gate.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+namespace {
+
+/// Time over which a restarted or warming target gets back to all of its slots.
+constexpr Micros kRampTime = Seconds(10);
+/// Wait after the first connect failure; it doubles with each further one.
+constexpr Micros kFirstBackOff = Millis(100);
+constexpr Micros kMaxBackOff = Seconds(10);
+/// Doublings after which kMaxBackOff is passed anyway.
+constexpr uint32_t kMaxDoublings = 7;
+/// Boot ids remembered for each target.
+constexpr size_t kMaxOldBoots = 4;
+
+} // namespace
+
+Reason
+TargetGate::Admit(TimePoint aNow, bool aIsIdle) const
+{
+  if (leaving_) {
+    return Reason::Draining;
+  }
+  if (IsEjected() && (aNow < retryAt_ || !aIsIdle)) {
+    return Reason::ConnectFailed;
+  }
+  return Reason::None;
+}
+
+uint32_t
+TargetGate::SlotsAt(TimePoint aNow) const
+{
+  if (IsEjected()) {
+    return 1;
+  }
+  const Micros passed = aNow - rampStart_;
+  if (!ramping_ || passed >= kRampTime) {
+    return slots_;
+  }
+  return std::max(1U, static_cast<uint32_t>(slots_ * passed.count() / kRampTime.count()));
+}
+
+/// Returns true when the boot id is the current one or a new one. A new one ends a leaving mark and starts the ramp,
+/// except the first one seen, which says nothing of a restart: owners change without one.
+bool
+TargetGate::OnBoot(const BootId& aBoot, TimePoint aNow)
+{
+  if (aBoot.IsEmpty() || aBoot == boot_) {
+    return true;
+  }
+  if (std::find(oldBoots_.begin(), oldBoots_.end(), aBoot) != oldBoots_.end()) {
+    return false;
+  }
+  if (!boot_.IsEmpty()) {
+    oldBoots_.push_back(boot_);
+    if (oldBoots_.size() > kMaxOldBoots) {
+      oldBoots_.pop_front();
+    }
+    leaving_ = false;
+    ramping_ = true;
+    rampStart_ = aNow;
+  }
+  boot_ = aBoot;
+  return true;
+}
+
+void
+TargetGate::OnConnectFailed(TimePoint aNow)
+{
+  const Micros backOff = kFirstBackOff * (1U << std::min(failures_, kMaxDoublings));
+  retryAt_ = aNow + std::min(backOff, kMaxBackOff);
+  failures_++;
+}
+
+void
+TargetGate::OnReply(const TargetReply& aReply, TimePoint aNow)
+{
+  if (aReply.reason_ == Reason::ConnectFailed) {
+    OnConnectFailed(aNow);
+    return;
+  }
+  if (aReply.verdict_ == Verdict::MayHaveRun && aReply.state_ == TargetState::Unknown) {
+    return;
+  }
+  if (IsEjected()) {
+    failures_ = 0;
+    ramping_ = true;
+    rampStart_ = aNow;
+  }
+  if (!OnBoot(aReply.boot_, aNow)) {
+    return;
+  }
+  leaving_ = leaving_ || aReply.state_ == TargetState::Draining || aReply.reason_ == Reason::Draining;
+  if (aReply.state_ == TargetState::Warming) {
+    ramping_ = true;
+    rampStart_ = aNow;
+  }
+}
+
+void
+TargetGate::OnHealth(const TargetReply& aReply, TimePoint aNow)
+{
+  if (aReply.verdict_ == Verdict::Ran && OnBoot(aReply.boot_, aNow)) {
+    leaving_ = leaving_ || aReply.state_ == TargetState::Draining;
+  }
+}
+
+} // namespace ibisrock
