Let first-hand replies decide which boot of a target is current

Cause: a health endpoint that lags can show a boot id that the owner never saw before although it is an earlier one. It was then taken for a restart, and the replies of the real process were ignored as outdated, draining marks included. Change: BootHistory takes a boot id seen in a reply as current in any case.

--- a/src/connection/target_gate.cpp
+++ b/src/connection/target_gate.cpp
@@ -13,8 +13,6 @@
 constexpr Micros kMaxBackOff = Seconds(10);
 /// Doublings after which kMaxBackOff is passed anyway.
 constexpr uint32_t kMaxDoublings = 7;
-/// Boot ids remembered for each target.
-constexpr size_t kMaxOldBoots = 4;
 
 } // namespace
 
@@ -43,28 +41,18 @@
   return std::max(1U, static_cast<uint32_t>(slots_ * passed.count() / kRampTime.count()));
 }
 
-/// Returns true when the boot id is the current one or a new one. A new one ends a leaving mark and starts the ramp,
-/// except the first one seen, which says nothing of a restart: owners change without one.
+/// Returns false when the boot id is an earlier one. A new one ends a leaving mark and starts the ramp, except the
+/// first one seen, which says nothing of a restart: owners change without one.
 bool
-TargetGate::OnBoot(const BootId& aBoot, TimePoint aNow)
+TargetGate::OnBoot(const BootId& aBoot, bool aFirstHand, TimePoint aNow)
 {
-  if (aBoot.IsEmpty() || aBoot == boot_) {
-    return true;
-  }
-  if (std::find(oldBoots_.begin(), oldBoots_.end(), aBoot) != oldBoots_.end()) {
-    return false;
-  }
-  if (!boot_.IsEmpty()) {
-    oldBoots_.push_back(boot_);
-    if (oldBoots_.size() > kMaxOldBoots) {
-      oldBoots_.pop_front();
-    }
+  const BootChange change = boots_.See(aBoot, aFirstHand);
+  if (change == BootChange::Restarted) {
     leaving_ = false;
     ramping_ = true;
     rampStart_ = aNow;
   }
-  boot_ = aBoot;
-  return true;
+  return change != BootChange::Outdated;
 }
 
 void
@@ -90,9 +78,7 @@
     ramping_ = true;
     rampStart_ = aNow;
   }
-  if (!OnBoot(aReply.boot_, aNow)) {
-    return;
-  }
+  OnBoot(aReply.boot_, true, aNow);
   leaving_ = leaving_ || aReply.state_ == TargetState::Draining || aReply.reason_ == Reason::Draining;
   if (aReply.state_ == TargetState::Warming) {
     ramping_ = true;
@@ -103,7 +89,7 @@
 void
 TargetGate::OnHealth(const TargetReply& aReply, TimePoint aNow)
 {
-  if (aReply.verdict_ == Verdict::Ran && OnBoot(aReply.boot_, aNow)) {
+  if (aReply.verdict_ == Verdict::Ran && OnBoot(aReply.boot_, false, aNow)) {
     leaving_ = leaving_ || aReply.state_ == TargetState::Draining;
   }
 }
--- a/src/connection/target_gate.h
+++ b/src/connection/target_gate.h
@@ -2,8 +2,7 @@
 #define IBISROCK_CONNECTION_TARGET_GATE_H
 
 #include "base/target_client.h"
-
-#include <deque>
+#include "connection/boot_history.h"
 
 namespace ibisrock {
 
@@ -29,13 +28,11 @@
   bool IsEjected() const { return failures_ > 0; }
 
 private:
-  bool OnBoot(const BootId& aBoot, TimePoint aNow);
+  bool OnBoot(const BootId& aBoot, bool aFirstHand, TimePoint aNow);
   void OnConnectFailed(TimePoint aNow);
 
   const uint32_t slots_;
-  BootId boot_;
-  /// Earlier boot ids, which a lagging health endpoint may still report.
-  std::deque<BootId> oldBoots_;
+  BootHistory boots_;
   bool leaving_ = false;
   bool ramping_ = false;
   TimePoint rampStart_{};
