Keep the states of targets and poll the owned ones

Cause: leaving marks, boot ids and held versions were seen and forgotten. Change: TargetStates learns from replies (through the dispatcher), from the health endpoint of owned targets once a second, and from gossip, and answers IsLeaving, MayHold and RampShare. Within one boot, gossip only raises the state and adds versions, so that late updates cannot circulate for ever. Instance joins the states, the poller and the crash guard to gossip. Nothing chooses replicas by these answers yet.

--- a/bench/target_path.cpp
+++ b/bench/target_path.cpp
@@ -84,7 +84,7 @@
   TargetConfig target;
   target.slots_ = 2;
   target.connections_ = 25;
-  auto dispatcher = ReplicaDispatcher::Create(target, timers, targets);
+  auto dispatcher = ReplicaDispatcher::Create(target, timers, targets, nullptr);
   wire::SubRequest request;
   request.body_ = "paddler 7";
   request.budget_ = Seconds(1);
--- a/src/connection/replica_dispatcher.cpp
+++ b/src/connection/replica_dispatcher.cpp
@@ -18,15 +18,20 @@
 } // namespace
 
 std::shared_ptr<ReplicaDispatcher>
-ReplicaDispatcher::Create(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient)
+ReplicaDispatcher::Create(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient, Observer aObserver)
 {
-  return std::shared_ptr<ReplicaDispatcher>(new ReplicaDispatcher(std::move(aTarget), aTimers, aClient));
+  return std::shared_ptr<ReplicaDispatcher>(
+    new ReplicaDispatcher(std::move(aTarget), aTimers, aClient, std::move(aObserver)));
 }
 
-ReplicaDispatcher::ReplicaDispatcher(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient)
+ReplicaDispatcher::ReplicaDispatcher(TargetConfig aTarget,
+                                     TimerService& aTimers,
+                                     TargetClient& aClient,
+                                     Observer aObserver)
   : target_(std::move(aTarget))
   , timers_(aTimers)
   , client_(aClient)
+  , observer_(std::move(aObserver))
   , gate_(target_.slots_)
 {
 }
@@ -213,6 +218,9 @@
     reply.queueLength_ = static_cast<uint32_t>(queue_.Size());
   }
   reply.reply_ = std::move(aReply);
+  if (observer_) {
+    observer_(target_.name_, reply.reply_);
+  }
   if (leaving) {
     ProbeLater();
   }
--- a/src/connection/replica_dispatcher.h
+++ b/src/connection/replica_dispatcher.h
@@ -19,8 +19,13 @@
 {
 public:
   using Callback = AttemptSender::Callback;
+  /// Is told each outcome of an attempt that was sent to the target.
+  using Observer = std::function<void(const TargetName&, const TargetReply&)>;
 
-  static std::shared_ptr<ReplicaDispatcher> Create(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient);
+  static std::shared_ptr<ReplicaDispatcher> Create(TargetConfig aTarget,
+                                                   TimerService& aTimers,
+                                                   TargetClient& aClient,
+                                                   Observer aObserver);
 
   /// Runs the attempt now or when a slot is free, or refuses it with NotRun. aCallback is called exactly once.
   void Submit(const wire::SubRequest& aRequest, Callback aCallback);
@@ -43,7 +48,7 @@
     Reason reason_ = Reason::None;
   };
 
-  ReplicaDispatcher(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient);
+  ReplicaDispatcher(TargetConfig aTarget, TimerService& aTimers, TargetClient& aClient, Observer aObserver);
 
   Reason Admit(const wire::SubRequest& aRequest, TimePoint aNow) const;
   void RefuseWaiting(TimePoint aNow, std::vector<Refused>& aRefused);
@@ -59,6 +64,7 @@
   const TargetConfig target_;
   TimerService& timers_;
   TargetClient& client_;
+  const Observer observer_;
 
   mutable std::mutex mutex_;
   AttemptQueue queue_;
--- a/src/process/dispatcher_table.cpp
+++ b/src/process/dispatcher_table.cpp
@@ -18,7 +18,7 @@
   Entry& entry = shard.entries_[aTarget.name_];
   if (!entry.dispatcher_ || entry.config_ != aTarget) {
     entry.config_ = aTarget;
-    entry.dispatcher_ = ReplicaDispatcher::Create(aTarget, environment_.timers_, environment_.targets_);
+    entry.dispatcher_ = ReplicaDispatcher::Create(aTarget, environment_.timers_, environment_.targets_, observer_);
   }
   return entry.dispatcher_;
 }
--- a/src/process/dispatcher_table.h
+++ b/src/process/dispatcher_table.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 
 namespace ibisrock {
 
@@ -16,8 +17,10 @@
 class DispatcherTable
 {
 public:
-  explicit DispatcherTable(Environment aEnvironment)
+  /// aObserver is told each outcome of an attempt that was sent to a target.
+  DispatcherTable(Environment aEnvironment, ReplicaDispatcher::Observer aObserver)
     : environment_(aEnvironment)
+    , observer_(std::move(aObserver))
   {
   }
 
@@ -44,6 +47,7 @@
   Shard& ShardOf(const TargetName& aTarget);
 
   Environment environment_;
+  const ReplicaDispatcher::Observer observer_;
   std::array<Shard, kShardCount> shards_;
 };
 
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -40,7 +40,12 @@
             membership_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , config_(environment_)
-  , dispatchers_(environment_)
+  , targetStates_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
+  , crashGuard_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
+  , targetPoller_(self_, environment_, membership_, config_, targetStates_)
+  , dispatchers_(
+      environment_,
+      [this](const TargetName& aTarget, const TargetReply& aReply) { targetStates_.OnReply(aTarget, aReply); })
   , router_(self_,
             environment_,
             membership_,
@@ -49,6 +54,14 @@
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , coordinator_(self_, environment_, config_, router_)
 {
+  gossip_.Subscribe([this](const wire::Update& aUpdate) {
+    const auto* target = std::get_if<wire::TargetUpdate>(&aUpdate);
+    return target != nullptr && targetStates_.OnUpdate(*target);
+  });
+  gossip_.Subscribe([this](const wire::Update& aUpdate) {
+    const auto* crash = std::get_if<wire::CrashUpdate>(&aUpdate);
+    return crash != nullptr && crashGuard_.OnUpdate(*crash);
+  });
 }
 
 void
@@ -56,6 +69,7 @@
 {
   membership_.Start();
   config_.Start();
+  targetPoller_.Start();
 }
 
 void
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -5,9 +5,12 @@
 #include "process/attempt_router.h"
 #include "process/config_keeper.h"
 #include "process/coordinator.h"
+#include "process/crash_guard.h"
 #include "process/dispatcher_table.h"
 #include "process/gossip.h"
 #include "process/membership.h"
+#include "process/target_poller.h"
+#include "process/target_states.h"
 
 #include <atomic>
 #include <memory>
@@ -52,6 +55,9 @@
   Membership membership_;
   Gossip gossip_;
   ConfigKeeper config_;
+  TargetStates targetStates_;
+  CrashGuard crashGuard_;
+  TargetPoller targetPoller_;
   DispatcherTable dispatchers_;
   AttemptRouter router_;
   Coordinator coordinator_;
--- /dev/null
+++ b/src/process/target_poller.h
@@ -0,0 +1,36 @@
+#ifndef IBISROCK_PROCESS_TARGET_POLLER_H
+#define IBISROCK_PROCESS_TARGET_POLLER_H
+
+#include "process/config_keeper.h"
+#include "process/membership.h"
+#include "process/target_states.h"
+
+namespace ibisrock {
+
+/// Looks at the health endpoint of each target that this instance owns, once a second. It outlives the timers and the
+/// probes that it started.
+class TargetPoller
+{
+public:
+  TargetPoller(InstanceIdentity aSelf,
+               Environment aEnvironment,
+               const Membership& aMembership,
+               const ConfigKeeper& aConfig,
+               TargetStates& aStates);
+
+  /// Begins to poll.
+  void Start();
+
+private:
+  void PollOwned();
+
+  const InstanceIdentity self_;
+  Environment environment_;
+  const Membership& membership_;
+  const ConfigKeeper& config_;
+  TargetStates& states_;
+};
+
+} // namespace ibisrock
+
+#endif
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -103,7 +103,7 @@
 
   ManualTimerService timers_;
   HeldTargets targets_;
-  std::shared_ptr<ReplicaDispatcher> dispatcher_ = ReplicaDispatcher::Create(Target(2), timers_, targets_);
+  std::shared_ptr<ReplicaDispatcher> dispatcher_ = ReplicaDispatcher::Create(Target(2), timers_, targets_, nullptr);
   std::map<uint32_t, wire::SubReply> replies_;
 };
 
@@ -272,7 +272,7 @@
 // Guards against full load on a target that has just restarted.
 TEST_F(Dispatcher, RampsRestartedTarget)
 {
-  dispatcher_ = ReplicaDispatcher::Create(Target(4), timers_, targets_);
+  dispatcher_ = ReplicaDispatcher::Create(Target(4), timers_, targets_, nullptr);
   RunEach(1, { Ready("b1"), Ready("b2") });
   for (uint32_t number = 11; number <= 20; number++) {
     Submit(number);
