--- a/src/connection/replica_dispatcher.h
+++ b/src/connection/replica_dispatcher.h
@@ -25,7 +25,7 @@
   static std::shared_ptr<ReplicaDispatcher> Create(TargetConfig aTarget,
                                                    TimerService& aTimers,
                                                    TargetClient& aClient,
-                                                   Observer aObserver);
+                                                   Observer aObserver = nullptr);
 
   /// Runs the attempt now or when a slot is free, or refuses it with NotRun. aCallback is called exactly once.
   void Submit(const wire::SubRequest& aRequest, Callback aCallback);
