Refuse attempts that could start in time but not end in time

Cause: the dispatcher compared the expected wait with the budget and left no time for the attempt itself, so beyond capacity much work ended too late to be used. Change: one average service time is added to the expected wait.

--- a/src/connection/replica_dispatcher.cpp
+++ b/src/connection/replica_dispatcher.cpp
@@ -49,7 +49,7 @@
 }
 
 /// Needs the lock. The expected wait is an estimate: it takes each attempt ahead as one average service time on one of
-/// the slots that are open now.
+/// the slots that are open now. The attempt itself needs one more to be of use to its caller.
 Reason
 ReplicaDispatcher::Admit(const wire::SubRequest& aRequest, TimePoint aNow) const
 {
@@ -66,7 +66,7 @@
   }
   const auto ahead = static_cast<int64_t>(queue_.CountAhead(aRequest.caller_, aNow + aRequest.budget_));
   const Micros wait = serviceTime_ * (ahead + 1) / static_cast<int64_t>(std::max(slots, 1U));
-  return wait >= aRequest.budget_ ? Reason::Overloaded : Reason::None;
+  return wait + serviceTime_ > aRequest.budget_ ? Reason::Overloaded : Reason::None;
 }
 
 void
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -136,8 +136,8 @@
   Submit(2);
   Submit(3);
   Submit(4);
-  Submit(5, Millis(10));
-  Submit(6, Millis(4));
+  Submit(5, Millis(15));
+  Submit(6, Millis(14));
   ExpectRefusal(6, Reason::Overloaded);
   EXPECT_FALSE(replies_.contains(5));
 }
