--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -90,9 +90,42 @@
   timers_.After(aDelay, [callback = std::move(aCallback), reply = std::move(aReply)] { callback(reply); });
 }
 
+unsigned
+FakeTargets::PeakConnections(const TargetName& aName) const
+{
+  std::lock_guard lock(mutex_);
+  auto found = peakConnected_.find(aName);
+  return found == peakConnected_.end() ? 0 : found->second;
+}
+
+/// Opens a connection that lasts until the returned callback is called. Returns nothing when no further one is taken.
+TargetClient::Callback
+FakeTargets::Connect(const TargetName& aName, Callback aCallback)
+{
+  std::lock_guard lock(mutex_);
+  unsigned& connected = connected_[aName];
+  if (!targets_[aName].down_ && connected >= targets_[aName].connections_) {
+    return nullptr;
+  }
+  connected++;
+  peakConnected_[aName] = std::max(peakConnected_[aName], connected);
+  return [this, aName, callback = std::move(aCallback)](TargetReply aReply) {
+    {
+      std::lock_guard closing(mutex_);
+      connected_[aName]--;
+    }
+    callback(std::move(aReply));
+  };
+}
+
 void
 FakeTargets::Start(const TargetAttempt& aAttempt, Callback aCallback)
 {
+  Callback connected = Connect(aAttempt.target_, aCallback);
+  if (!connected) {
+    Answer(std::move(aCallback), Refusal({}, Reason::ConnectFailed), 2 * kTargetDelay);
+    return;
+  }
   std::optional<TargetReply> refusal;
   bool crash = false;
   {
@@ -110,15 +143,17 @@
       runs_.push_back({ aAttempt.target_, aAttempt.shard_, aAttempt.id_, aAttempt.body_, timers_.Now() });
       crash = !target.crashBody_.empty() && target.crashBody_ == aAttempt.body_;
       const bool slow = random_.Unit() < target.slowShare_;
-      const Micros work = target.serviceTime_ * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
+      const unsigned cold = target.state_ == TargetState::Warming ? target.coldFactor_ : 1U;
+      const Micros work =
+        target.connectTime_ + target.serviceTime_ * cold * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
       const Micros held = std::min(work, aAttempt.budget_);
       const TimerId timer =
         timers_.After(held, [this, attempt = aAttempt, left = aAttempt.budget_ - work] { Finish(attempt, left); });
-      running_[aAttempt.id_] = { aAttempt.target_, aCallback, timer };
+      running_[aAttempt.id_] = { aAttempt.target_, connected, timer };
     }
   }
   if (refusal) {
-    Answer(std::move(aCallback), std::move(*refusal), 2 * kTargetDelay);
+    Answer(std::move(connected), std::move(*refusal), 2 * kTargetDelay);
   } else if (crash) {
     timers_.After(kTargetDelay, [this, name = aAttempt.target_] {
       {
@@ -183,12 +218,29 @@
     const FakeTarget& target = targets_[aTarget];
     if (!target.down_) {
       reply = DescribeTarget(target, aTarget);
+      reply.state_ = target.falseHealth_.value_or(target.state_);
       reply.verdict_ = Verdict::Ran;
     }
   }
   Answer(std::move(aCallback), std::move(reply), 2 * kTargetDelay);
 }
 
+/// Ends the restart of a crashed target, which may be cold for a time.
+void
+FakeTargets::BecomeUp(const TargetName& aName)
+{
+  std::lock_guard lock(mutex_);
+  FakeTarget& target = targets_[aName];
+  target.down_ = false;
+  if (target.coldStart_ > Micros::zero()) {
+    target.state_ = TargetState::Warming;
+    timers_.After(target.coldStart_, [this, aName] {
+      std::lock_guard warmLock(mutex_);
+      targets_[aName].state_ = TargetState::Ready;
+    });
+  }
+}
+
 void
 FakeTargets::Crash(const TargetName& aName)
 {
@@ -207,10 +259,7 @@
         ++entry;
       }
     }
-    timers_.After(target.restartTime_, [this, aName] {
-      std::lock_guard restartLock(mutex_);
-      targets_[aName].down_ = false;
-    });
+    timers_.After(target.restartTime_, [this, aName] { BecomeUp(aName); });
   }
   for (Callback& callback : lost) {
     callback(Lost(Reason::ConnectionLost));
--- a/src/fakes/fake_targets.h
+++ b/src/fakes/fake_targets.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,16 @@
   unsigned slowFactor_ = 10;
   std::set<IndexVersion> held_ = { IndexVersion(1) };
   TargetState state_ = TargetState::Ready;
+  /// State that the health endpoint claims, if it is not the true one.
+  std::optional<TargetState> falseHealth_;
+  /// Attempts that may be connected at the same time; further ones fail to connect.
+  unsigned connections_ = 25;
+  /// Added to each attempt, which uses a connection of its own.
+  Micros connectTime_{};
+  /// While the target is warming, requests take coldFactor_ times as long.
+  unsigned coldFactor_ = 1;
+  /// Time after a restart in which the target is warming.
+  Micros coldStart_{};
   bool down_ = false;
   /// Requests with this body crash the target; empty for none.
   std::string crashBody_;
@@ -63,6 +74,8 @@
   std::vector<TargetRun> Runs() const;
   /// Number of requests that targets refused because all slots were taken.
   uint64_t Shed() const;
+  /// Most connections that a target had at the same time.
+  unsigned PeakConnections(const TargetName& aName) const;
   /// Number of times that a request crashed a target.
   uint64_t Crashes() const;
 
@@ -74,6 +87,8 @@
     TimerId timer_;
   };
 
+  Callback Connect(const TargetName& aName, Callback aCallback);
+  void BecomeUp(const TargetName& aName);
   void Answer(Callback aCallback, TargetReply aReply, Micros aDelay);
   void Finish(const TargetAttempt& aAttempt, Micros aBudgetLeft);
   unsigned RunningOn(const TargetName& aName) const;
@@ -83,6 +98,8 @@
   mutable std::mutex mutex_;
   std::map<TargetName, FakeTarget> targets_;
   std::map<AttemptId, Running> running_;
+  std::map<TargetName, unsigned> connected_;
+  std::map<TargetName, unsigned> peakConnected_;
   std::vector<TargetRun> runs_;
   uint64_t shed_ = 0;
   uint64_t crashes_ = 0;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -3,6 +3,7 @@
 #include "standin/target_standin.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
 #include <map>
@@ -29,6 +30,8 @@
 )";
 
 constexpr int kExitFailure = 1;
+/// A request crashed a target; it takes all targets of the process with it.
+constexpr int kExitCrash = 3;
 constexpr unsigned kPlatformThreads = 256;
 constexpr unsigned kTargetThreads = 64;
 
@@ -60,9 +63,9 @@
   standin::TargetBehaviour behaviour;
   behaviour.serviceTime_ = Millis(aArguments.at("--service-ms").asLong());
   behaviour.slots_ = static_cast<unsigned>(aArguments.at("--slots").asLong());
-  behaviour.indexVersion_ = static_cast<uint64_t>(aArguments.at("--index-version").asLong());
+  behaviour.versions_ = { static_cast<uint64_t>(aArguments.at("--index-version").asLong()) };
   for (long index = 0; index < aArguments.at("--count").asLong(); index++) {
-    auto target = std::make_shared<standin::TargetStandin>(behaviour);
+    auto target = std::make_shared<standin::TargetStandin>(behaviour, [] { std::_Exit(kExitCrash); });
     const std::string address = first->ip_ + ":" + std::to_string(first->port_ + index);
     auto handler = [target](const adapters::HttpRequest& aRequest) { return target->Handle(aRequest); };
     if (!Listen(aServers, address, kTargetThreads, handler)) {
