--- a/src/fakes/fake_targets.h
+++ b/src/fakes/fake_targets.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,16 @@
   unsigned slowFactor_ = 10;
   std::set<IndexVersion> held_ = { IndexVersion(1) };
   TargetState state_ = TargetState::Ready;
+  /// State that the health endpoint claims, if it is not the true one.
+  std::optional<TargetState> falseHealth_;
+  /// Attempts that may be connected at the same time; further ones fail to connect.
+  unsigned connections_ = 25;
+  /// Added to each attempt, which uses a connection of its own.
+  Micros connectTime_{};
+  /// While the target is warming, requests take coldFactor_ times as long.
+  unsigned coldFactor_ = 1;
+  /// Time after a restart in which the target is warming.
+  Micros coldStart_{};
   bool down_ = false;
   /// Requests with this body crash the target; empty for none.
   std::string crashBody_;
@@ -55,6 +66,7 @@
 
   void Start(const TargetAttempt& aAttempt, Callback aCallback) override;
   void Cancel(const AttemptId& aId) override;
+  void Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback) override;
 
   /// Adds a target or replaces its behaviour. Requests in flight go on.
   void Set(const TargetName& aName, const FakeTarget& aTarget);
@@ -64,6 +76,8 @@
   std::vector<TargetRun> Runs() const;
   /// Number of requests that targets refused because all slots were taken.
   uint64_t Shed() const;
+  /// Most connections that a target had at the same time.
+  unsigned PeakConnections(const TargetName& aName) const;
   /// Number of times that a request crashed a target.
   uint64_t Crashes() const;
 
@@ -75,6 +89,8 @@
     TimerId timer_;
   };
 
+  Callback Connect(const TargetName& aName, Callback aCallback);
+  void BecomeUp(const TargetName& aName);
   void Answer(Callback aCallback, TargetReply aReply, Micros aDelay);
   void Finish(const TargetAttempt& aAttempt, Micros aBudgetLeft);
   unsigned RunningOn(const TargetName& aName) const;
@@ -84,6 +100,8 @@
   mutable std::mutex mutex_;
   std::map<TargetName, FakeTarget> targets_;
   std::map<AttemptId, Running> running_;
+  std::map<TargetName, unsigned> connected_;
+  std::map<TargetName, unsigned> peakConnected_;
   std::vector<TargetRun> runs_;
   uint64_t shed_ = 0;
   uint64_t crashes_ = 0;
--- a/src/fakes/process_gate.cpp
+++ b/src/fakes/process_gate.cpp
@@ -98,6 +98,17 @@
   }
 }
 
+void
+GatedTargets::Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback)
+{
+  if (!gate_->IsRunning()) {
+    return;
+  }
+  targets_.Probe(aTarget, aAddress, [gate = gate_, callback = std::move(aCallback)](const TargetReply& aReply) {
+    gate->Pass([callback, aReply] { callback(aReply); });
+  });
+}
+
 GatedStore::GatedStore(ObjectStore& aStore, std::shared_ptr<ProcessGate> aGate)
   : store_(aStore)
   , gate_(std::move(aGate))
