Check all settings of ibisrockd at once

Cause: only the first fault was reported, misspelt variables were passed over, and settings that contradict each other were accepted. Change: a table describes each setting with its parser and limits; the help text, the flags and the variables come from it.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -19,6 +19,7 @@
 
 using namespace ibisrock;
 
+constexpr const char* kVersion = "ibisrockd 0.1.0";
 constexpr int kExitUsage = 2;
 constexpr int kExitFailure = 1;
 constexpr auto kIdlePollTime = std::chrono::milliseconds(20);
@@ -65,6 +66,24 @@
   std::this_thread::sleep_for(kFlushTime);
 }
 
+/// Stops the log levels that are less severe than aLevel.
+void
+SetLogLevel(const std::string& aLevel)
+{
+  constexpr std::pair<const char*, el::Level> kLevels[] = { { "debug", el::Level::Debug },
+                                                            { "info", el::Level::Info },
+                                                            { "warning", el::Level::Warning },
+                                                            { "error", el::Level::Error } };
+  el::Configurations configurations;
+  for (const auto& [name, level] : kLevels) {
+    if (name == aLevel) {
+      break;
+    }
+    configurations.set(level, el::ConfigurationType::Enabled, "false");
+  }
+  el::Loggers::reconfigureAllLoggers(configurations);
+}
+
 int
 Fail(const LastReason& aReason)
 {
@@ -116,11 +135,27 @@
 main(int aArgc, char** aArgv)
 {
   el::Loggers::reconfigureAllLoggers(el::ConfigurationType::ToFile, "false");
-  LastReason reason;
-  auto settings = daemon::ReadSettings({ aArgv + 1, aArgv + aArgc }, reason);
-  if (!settings) {
-    std::cerr << "ibisrockd: " << reason.Text() << "\n";
+  std::vector<daemon::SettingFault> faults;
+  auto line = daemon::ReadCommandLine({ aArgv + 1, aArgv + aArgc }, daemon::ProcessVariables(), faults);
+  if (!line) {
+    for (const daemon::SettingFault& fault : faults) {
+      std::cerr << "ibisrockd: " << fault.setting_ << " " << fault.text_ << "\n";
+    }
     return kExitUsage;
   }
-  return Run(*settings);
+  switch (line->task_) {
+    case daemon::Task::ShowHelp:
+      std::cout << daemon::UsageText();
+      return 0;
+    case daemon::Task::ShowVersion:
+      std::cout << kVersion << "\n";
+      return 0;
+    case daemon::Task::Check:
+      std::cout << "settings are valid\n";
+      return 0;
+    case daemon::Task::Run:
+      break;
+  }
+  SetLogLevel(line->settings_.logLevel_);
+  return Run(line->settings_);
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,132 +1,147 @@
 #include "daemon/settings.h"
 
-#include <charconv>
-#include <cstdlib>
+#include "daemon/setting_table.h"
+
 #include <docopt/docopt.h>
-#include <map>
+#include <set>
+#include <unistd.h>
 
 namespace ibisrock::daemon {
 
 namespace {
 
-constexpr const char* kUsage = R"(ibisrockd: one instance of the query tier.
+constexpr const char* kUsageHead = R"(ibisrockd: one instance of the query tier.
 
 Usage:
   ibisrockd [options]
-  ibisrockd --help
-  ibisrockd --version
 
-Each option is also an environment variable, for example IBISROCK_INSTANCE.
+Each option with a value is also an environment variable, for example IBISROCK_PEER_LISTEN; the option takes precedence.
 
 Options:
-  --instance ID            Name of this instance, unique among live instances.
-  --data-centre NAME       Data centre of this instance.
-  --listen IP:PORT         Address for callers and operators (HTTP).
-  --peer-listen IP:PORT    Address for other instances (nng).
-  --platform IP:PORT       Address of the platform's object API and instance list.
-  --max-callers N          Requests of callers served at the same time [default: 512].
-  --target-threads N       Attempts to targets in flight at the same time [default: 128].
-  --drain-ms N             Time in ms to keep serving after SIGTERM, for balancers that lag [default: 3000].
+  --help                  Show this text.
+  --version               Show the version.
+  --check                 Check the settings and exit.
 )";
 
-/// Name of the environment variable of a flag: --peer-listen becomes IBISROCK_PEER_LISTEN.
-std::string
-EnvironmentName(const std::string& aFlag)
+constexpr size_t kOptionWidth = 24;
+constexpr const char* kPrefix = "IBISROCK_";
+
+using Flags = std::map<std::string, docopt::value>;
+
+/// Value of a setting: the flag, else the variable, else the default.
+std::optional<std::string>
+FindValue(const SettingSpec& aSpec, const Flags& aFlags, const Variables& aVariables)
 {
-  std::string name = "IBISROCK_";
-  for (const char letter : aFlag.substr(2)) {
-    name += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
+  auto flag = aFlags.find(aSpec.flag_);
+  if (flag != aFlags.end() && flag->second) {
+    return flag->second.asString();
   }
-  return name;
+  auto variable = aVariables.find(VariableName(aSpec.flag_));
+  if (variable != aVariables.end()) {
+    return variable->second;
+  }
+  return *aSpec.default_ == '\0' ? std::nullopt : std::optional<std::string>(aSpec.default_);
 }
 
-/// Looks settings up in the parsed flags and the environment, and keeps the first fault.
-class SettingsReader
+void
+ReadSetting(const SettingSpec& aSpec,
+            const std::optional<std::string>& aValue,
+            Settings& aSettings,
+            std::vector<SettingFault>& aFaults)
 {
-public:
-  SettingsReader(std::map<std::string, docopt::value> aFlags, const std::vector<std::string>& aArguments)
-    : flags_(std::move(aFlags))
-    , arguments_(aArguments)
-  {
+  if (!aValue) {
+    aFaults.push_back({ SettingTitle(aSpec.flag_), "is missing" });
+    return;
   }
-
-  std::string Text(const std::string& aFlag)
-  {
-    std::string value = Find(aFlag);
-    if (value.empty()) {
-      AddFault(aFlag, "is missing");
-    }
-    return value;
+  if (aValue->empty()) {
+    aFaults.push_back({ SettingTitle(aSpec.flag_), "is empty" });
+    return;
+  }
+  LastReason reason;
+  if (!aSpec.parse_(aSpec, *aValue, aSettings, reason)) {
+    aFaults.push_back({ SettingTitle(aSpec.flag_), "is \"" + *aValue + "\", which " + reason.Text() });
   }
+}
 
-  unsigned Number(const std::string& aFlag, unsigned aMinimum, unsigned aMaximum)
-  {
-    const std::string text = Find(aFlag);
-    unsigned value = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < aMinimum || value > aMaximum) {
-      AddFault(aFlag,
-               "is \"" + text + "\", not a whole number from " + std::to_string(aMinimum) + " to " +
-                 std::to_string(aMaximum));
+/// A misspelt variable would otherwise leave its setting at the default without notice.
+void
+CheckVariableNames(const Variables& aVariables, std::vector<SettingFault>& aFaults)
+{
+  std::set<std::string> known;
+  for (const SettingSpec& spec : SettingTable()) {
+    known.insert(VariableName(spec.flag_));
+  }
+  for (const auto& [name, value] : aVariables) {
+    if (name.starts_with(kPrefix) && !known.contains(name)) {
+      aFaults.push_back({ name, "is not the variable of any setting" });
     }
-    return value;
   }
+}
 
-  const std::string& Fault() const { return fault_; }
-
-private:
-  std::string Find(const std::string& aFlag) const
-  {
-    const char* variable = std::getenv(EnvironmentName(aFlag).c_str());
-    if (variable != nullptr && !IsGiven(aFlag)) {
-      return variable;
-    }
-    const docopt::value& value = flags_.at(aFlag);
-    return value ? value.asString() : std::string();
+Settings
+ReadSettings(const Flags& aFlags, const Variables& aVariables, std::vector<SettingFault>& aFaults)
+{
+  Settings settings;
+  for (const SettingSpec& spec : SettingTable()) {
+    ReadSetting(spec, FindValue(spec, aFlags, aVariables), settings, aFaults);
   }
+  CheckCombinations(settings, aFaults);
+  return settings;
+}
 
-  bool IsGiven(const std::string& aFlag) const
-  {
-    for (const std::string& argument : arguments_) {
-      if (argument == aFlag || argument.starts_with(aFlag + "=")) {
-        return true;
-      }
-    }
-    return false;
+} // namespace
+
+std::string
+UsageText()
+{
+  std::string text = kUsageHead;
+  for (const SettingSpec& spec : SettingTable()) {
+    std::string option = std::string("  ") + spec.flag_ + " " + spec.argument_;
+    // docopt needs two spaces between an option and its description.
+    option.resize(std::max(option.size() + 2, kOptionWidth + 2), ' ');
+    text += option + spec.help_;
+    text += *spec.default_ == '\0' ? "\n" : std::string(" Default: ") + spec.default_ + ".\n";
   }
+  return text;
+}
 
-  void AddFault(const std::string& aFlag, const std::string& aText)
-  {
-    if (fault_.empty()) {
-      fault_ = "setting " + aFlag + " (" + EnvironmentName(aFlag) + ") " + aText;
+Variables
+ProcessVariables()
+{
+  Variables variables;
+  for (char** entry = environ; entry != nullptr && *entry != nullptr; entry++) {
+    const std::string text = *entry;
+    const size_t equals = text.find('=');
+    if (equals != std::string::npos) {
+      variables[text.substr(0, equals)] = text.substr(equals + 1);
     }
   }
+  return variables;
+}
 
-  std::map<std::string, docopt::value> flags_;
-  const std::vector<std::string>& arguments_;
-  std::string fault_;
-};
-
-} // namespace
-
-std::optional<Settings>
-ReadSettings(const std::vector<std::string>& aArguments, LastReason& aReason)
+std::optional<CommandLine>
+ReadCommandLine(const std::vector<std::string>& aArguments,
+                const Variables& aVariables,
+                std::vector<SettingFault>& aFaults)
 {
-  SettingsReader reader(docopt::docopt(kUsage, aArguments, true, "ibisrockd 0.1.0"), aArguments);
-  Settings settings;
-  settings.instance_ = reader.Text("--instance");
-  settings.dataCentre_ = reader.Text("--data-centre");
-  settings.callerAddress_ = reader.Text("--listen");
-  settings.peerAddress_ = reader.Text("--peer-listen");
-  settings.platformAddress_ = reader.Text("--platform");
-  settings.maxCallers_ = reader.Number("--max-callers", 1, 10000);
-  settings.targetThreads_ = reader.Number("--target-threads", 1, 10000);
-  settings.drainTime_ = Millis(reader.Number("--drain-ms", 0, 600000));
-  if (!reader.Fault().empty()) {
-    aReason.Set(reader.Fault());
+  Flags flags;
+  try {
+    flags = docopt::docopt_parse(UsageText(), aArguments, true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    return CommandLine{ Task::ShowHelp, {} };
+  } catch (const docopt::DocoptExitVersion&) {
+    return CommandLine{ Task::ShowVersion, {} };
+  } catch (const docopt::DocoptArgumentError& error) {
+    // Without the flags, the other settings cannot be judged; the names of the variables can.
+    aFaults.push_back({ "command line", error.what() });
+    CheckVariableNames(aVariables, aFaults);
     return std::nullopt;
   }
-  return settings;
+  CheckVariableNames(aVariables, aFaults);
+  CommandLine line;
+  line.task_ = flags.at("--check").asBool() ? Task::Check : Task::Run;
+  line.settings_ = ReadSettings(flags, aVariables, aFaults);
+  return aFaults.empty() ? std::optional(line) : std::nullopt;
 }
 
 } // namespace ibisrock::daemon
