Accept bursts of connections and limit requests of callers

Cause: cxxtools listens with a short accept queue, so that callers who connect at once are retried by their kernel after one second.

--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -2,7 +2,9 @@
 #define IBISROCK_ADAPTERS_HTTP_SERVER_H
 
 #include "base/last_reason.h"
+#include "base/units.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -41,6 +43,17 @@
   unsigned minThreads_ = 5;
   /// Each request that is being served holds one thread.
   unsigned maxThreads_ = 200;
+  /// Connections that may wait to be accepted. A connection beyond them is retried by the client's kernel after 1 s.
+  /// Zero leaves the backlog of cxxtools.
+  unsigned backlog_ = 1024;
+  /// Largest body in bytes; a larger one is refused with 413.
+  size_t maxBody_ = size_t{ 64 } * 1024 * 1024;
+  /// Largest sum of header names and values in bytes; a larger one is refused with 413. cxxtools holds at most 4096.
+  size_t maxHeader_ = 4096;
+  /// Time for a request to arrive once its first byte has arrived.
+  Micros readTimeout_ = Seconds(5);
+  /// Time that an idle connection is kept open.
+  Micros keepAlive_ = Seconds(15);
 };
 
 /// A cxxtools HTTP server with one handler for all paths, which runs on the server's threads.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -115,8 +115,16 @@
   }
   (*transport)->SetReceiver([&instance](std::string_view aBytes) { (*instance)->Receive(aBytes); });
   (*instance)->Start();
-  auto server = adapters::HttpServer::Create(
-    { aSettings.callerAddress_, 5, aSettings.maxCallers_ }, adapters::MakeCallerApi(**instance), reason);
+  auto server = adapters::HttpServer::Create({ .address_ = aSettings.callerAddress_,
+                                               .minThreads_ = aSettings.minThreads_,
+                                               .maxThreads_ = aSettings.maxCallers_,
+                                               .backlog_ = aSettings.backlog_,
+                                               .maxBody_ = aSettings.maxBody_,
+                                               .maxHeader_ = aSettings.maxHeader_,
+                                               .readTimeout_ = aSettings.readTimeout_,
+                                               .keepAlive_ = aSettings.keepAlive_ },
+                                             adapters::MakeCallerApi(**instance),
+                                             reason);
   if (!server) {
     return Fail(reason);
   }
