Check method, headers and names in the caller API

Cause: refusals had several shapes, no Retry-After and no message, and a byte that is not UTF-8 in a match made the answer fail. Change: one JSON shape with verdict, reason, message and request; Retry-After on 429 and 503; 405 with Allow; caller and key are limited to characters that are safe in store keys; Connection: close during a planned stop.

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -1,5 +1,9 @@
 #include "adapters/caller_api.h"
 
+#include "adapters/api_error.h"
+
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -9,6 +13,7 @@
 namespace {
 
 constexpr std::string_view kQueryPath = "/v1/query/";
+constexpr size_t kLongestName = 128;
 
 HttpReply
 TextReply(unsigned aStatus, const std::string& aText)
@@ -16,14 +21,39 @@
   return { aStatus, "text/plain", {}, aText + "\n" };
 }
 
-/// A refusal of a request that was never given to the library, so it was certainly not run.
 HttpReply
-BadRequest(const std::string& aText)
+Malformed(const std::string& aText)
+{
+  return NotRunReply(400, "malformed", aText);
+}
+
+/// Refuses every method but aAllowed.
+std::optional<HttpReply>
+CheckMethod(const HttpRequest& aRequest, const char* aAllowed)
+{
+  if (aRequest.method_ == aAllowed) {
+    return std::nullopt;
+  }
+  HttpReply reply = NotRunReply(405, "method-not-allowed", std::string("this path accepts only ") + aAllowed);
+  reply.headers_["Allow"] = aAllowed;
+  return reply;
+}
+
+/// Caller and key become parts of store keys separated by '/', and of logs.
+bool
+CheckName(const HttpRequest& aRequest, const char* aHeader, LastReason& aReason)
 {
-  return { 400,
-           "application/json",
-           { { "Ibisrock-Verdict", "not-run" } },
-           nlohmann::json{ { "verdict", "not-run" }, { "reason", "malformed" }, { "message", aText } }.dump() + "\n" };
+  const std::string value = aRequest.header_(aHeader);
+  const bool valid = std::all_of(value.begin(), value.end(), [](unsigned char aLetter) {
+    return std::isalnum(aLetter) != 0 ||
+           std::string_view("-_.:@").find(static_cast<char>(aLetter)) != std::string::npos;
+  });
+  if (!valid || value.size() > kLongestName) {
+    aReason.Set(std::string("header ") + aHeader +
+                " must have at most 128 letters, digits, '-', '_', '.', ':' and '@'");
+    return false;
+  }
+  return true;
 }
 
 /// Reads an optional header that has two allowed values. Returns false for any other value.
@@ -40,9 +70,100 @@
   return true;
 }
 
+HttpReply
+AnswerQuery(Instance& aInstance, const HttpRequest& aRequest)
+{
+  if (auto refusal = CheckMethod(aRequest, "POST")) {
+    return *refusal;
+  }
+  LastReason reason;
+  auto query = ReadQuery(aRequest, reason);
+  if (!query) {
+    return Malformed(reason.Text());
+  }
+  auto promise = std::make_shared<std::promise<Answer>>();
+  aInstance.Submit(std::move(*query), [promise](Answer aAnswer) { promise->set_value(std::move(aAnswer)); });
+  return ReplyTo(promise->get_future().get());
+}
+
+struct StatusMessage
+{
+  unsigned status_;
+  const char* text_;
+};
+
+constexpr StatusMessage kMessages[] = {
+  { 404, "no service of this name is in force" },
+  { 409, "the idempotency key belongs to another request or to one that is not finished" },
+  { 422, "the request is refused because it may crash targets" },
+  { 429, "the service or the caller is over its limit" },
+  { 503, "the request was not run" },
+  { 504, "the request may have run, but no shard replied in time" },
+};
+
+const char*
+MessageOf(unsigned aStatus)
+{
+  for (const StatusMessage& message : kMessages) {
+    if (message.status_ == aStatus) {
+      return message.text_;
+    }
+  }
+  return "";
+}
+
+/// Seconds for Retry-After, rounded up so that a caller that follows it is not early.
+std::string
+RetryAfterSeconds(Micros aTime)
+{
+  return std::to_string(std::max<int64_t>(1, std::chrono::ceil<Seconds>(aTime).count()));
+}
+
+HttpReply
+AnswerReady(const Instance& aInstance)
+{
+  LastReason reason;
+  return aInstance.IsReady(reason) ? TextReply(200, "ready") : TextReply(503, reason.Text());
+}
+
+struct Endpoint
+{
+  const char* path_;
+  HttpReply (*answer_)(const Instance&);
+};
+
+constexpr Endpoint kEndpoints[] = {
+  { "/healthz", [](const Instance&) { return TextReply(200, "ok"); } },
+  { "/readyz", &AnswerReady },
+  { "/debug/state",
+    [](const Instance& aInstance) {
+      return HttpReply{ 200, "application/json", {}, aInstance.DumpState() + "\n" };
+    } },
+};
+
+HttpReply
+Route(Instance& aInstance, const HttpRequest& aRequest)
+{
+  if (aRequest.path_.starts_with(kQueryPath)) {
+    return AnswerQuery(aInstance, aRequest);
+  }
+  for (const Endpoint& endpoint : kEndpoints) {
+    if (aRequest.path_ == endpoint.path_) {
+      auto refusal = CheckMethod(aRequest, "GET");
+      return refusal ? *refusal : endpoint.answer_(aInstance);
+    }
+  }
+  return NotRunReply(404, "unknown-path", "no such path");
+}
+
+} // namespace
+
 std::optional<Query>
 ReadQuery(const HttpRequest& aRequest, LastReason& aReason)
 {
+  if (!CheckName(aRequest, "Ibisrock-Caller", aReason) || !CheckName(aRequest, "Idempotency-Key", aReason)) {
+    return std::nullopt;
+  }
   Query query;
   query.service_ = ServiceName(aRequest.path_.substr(kQueryPath.size()));
   query.caller_ = CallerName(aRequest.header_("Ibisrock-Caller"));
@@ -73,35 +194,19 @@
 }
 
 HttpReply
-AnswerQuery(Instance& aInstance, const HttpRequest& aRequest)
+ReplyTo(const Answer& aAnswer)
 {
-  if (aRequest.method_ != "POST") {
-    return BadRequest("queries use the method POST");
+  HttpReply reply{ StatusOf(aAnswer),
+                   "application/json",
+                   { { "Ibisrock-Verdict", std::string(ToString(aAnswer.verdict_)) },
+                     { "Ibisrock-Request", ToString(aAnswer.request_) } },
+                   EncodeAnswer(aAnswer) + "\n" };
+  if (reply.status_ == 429 || reply.status_ == 503) {
+    reply.headers_["Retry-After"] = RetryAfterSeconds(aAnswer.retryAfter_);
   }
-  LastReason reason;
-  auto query = ReadQuery(aRequest, reason);
-  if (!query) {
-    return BadRequest(reason.Text());
-  }
-  auto promise = std::make_shared<std::promise<Answer>>();
-  aInstance.Submit(std::move(*query), [promise](Answer aAnswer) { promise->set_value(std::move(aAnswer)); });
-  const Answer answer = promise->get_future().get();
-  return { StatusOf(answer),
-           "application/json",
-           { { "Ibisrock-Verdict", std::string(ToString(answer.verdict_)) },
-             { "Ibisrock-Request", ToString(answer.request_) } },
-           EncodeAnswer(answer) + "\n" };
+  return reply;
 }
 
-HttpReply
-AnswerReady(const Instance& aInstance)
-{
-  LastReason reason;
-  return aInstance.IsReady(reason) ? TextReply(200, "ready") : TextReply(503, reason.Text());
-}
-
-} // namespace
-
 unsigned
 StatusOf(const Answer& aAnswer)
 {
@@ -143,6 +248,7 @@
     { "request", ToString(aAnswer.request_) },
     { "verdict", ToString(aAnswer.verdict_) },
     { "reason", ToString(aAnswer.reason_) },
+    { "message", MessageOf(StatusOf(aAnswer)) },
     { "index_version", aAnswer.version_.Value() },
     { "config_version", aAnswer.config_.Value() },
     { "complete", complete },
@@ -150,26 +256,19 @@
     { "shards_missing", missing },
     { "attempts", aAnswer.attempts_ },
     { "matches", matches }
-  }.dump();
+  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 HttpHandler
 MakeCallerApi(Instance& aInstance)
 {
   return [&aInstance](const HttpRequest& aRequest) {
-    if (aRequest.path_.starts_with(kQueryPath)) {
-      return AnswerQuery(aInstance, aRequest);
-    }
-    if (aRequest.path_ == "/healthz") {
-      return TextReply(200, "ok");
-    }
-    if (aRequest.path_ == "/readyz") {
-      return AnswerReady(aInstance);
-    }
-    if (aRequest.path_ == "/debug/state") {
-      return HttpReply{ 200, "application/json", {}, aInstance.DumpState() + "\n" };
+    HttpReply reply = Route(aInstance, aRequest);
+    // Callers on kept connections must move to another instance before this one exits.
+    if (aInstance.IsLeaving()) {
+      reply.headers_["Connection"] = "close";
     }
-    return TextReply(404, "no such path");
+    return reply;
   };
 }
 
--- a/src/adapters/caller_api.h
+++ b/src/adapters/caller_api.h
@@ -10,11 +10,19 @@
 HttpHandler
 MakeCallerApi(Instance& aInstance);
 
+/// Reads a query from the path and the headers. Returns no value when a header is malformed.
+std::optional<Query>
+ReadQuery(const HttpRequest& aRequest, LastReason& aReason);
+
+/// The reply that carries an answer or a refusal.
+HttpReply
+ReplyTo(const Answer& aAnswer);
+
 /// HTTP status of an answer, as listed in docs/design.md.
 unsigned
 StatusOf(const Answer& aAnswer);
 
-/// JSON text of an answer.
+/// JSON text of an answer. Bytes that are not valid UTF-8 become the replacement character U+FFFD.
 std::string
 EncodeAnswer(const Answer& aAnswer);
 
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -39,6 +39,8 @@
   bool IsIdle() const;
   /// True when callers may be sent here. Otherwise aReason says why not.
   bool IsReady(LastReason& aReason) const;
+  /// True once a planned stop has begun.
+  bool IsLeaving() const { return leaving_; }
   /// State of every part as JSON.
   std::string DumpState() const;
 
