--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -41,6 +41,10 @@
   bool IsReady(LastReason& aReason) const;
   /// True once a planned stop has begun.
   bool IsLeaving() const { return leaving_; }
+  /// Queries that have not been answered yet.
+  uint64_t QueriesInFlight() const { return coordinator_.InFlight(); }
+  /// Version of the configuration in force; none before the first.
+  ConfigVersion ConfigInForce() const;
   /// State of every part as JSON.
   std::string DumpState() const;
 
