Serve prometheus metrics on /metrics

Cause: an operator could not see latency, coverage, attempts or refusals. Change: the library reports each answer to a MetricsSink, which the coordinator calls at its one answer path; the adapter keeps prometheus metrics and the daemon's own server returns them as text.

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view kQueryPath = "/v1/query/";
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr size_t kLongestName = 128;
 
 HttpReply
@@ -126,6 +127,13 @@
   return aInstance.IsReady(reason) ? TextReply(200, "ready") : TextReply(503, reason.Text());
 }
 
+HttpReply
+AnswerMetrics(const Instance& aInstance, PrometheusMetrics& aMetrics, const HttpRequest& aRequest)
+{
+  auto refusal = CheckMethod(aRequest, "GET");
+  return refusal ? *refusal : HttpReply{ 200, "text/plain; version=0.0.4", {}, aMetrics.Text(aInstance) };
+}
+
 struct Endpoint
 {
   const char* path_;
@@ -260,10 +268,11 @@
 }
 
 HttpHandler
-MakeCallerApi(Instance& aInstance)
+MakeCallerApi(Instance& aInstance, PrometheusMetrics* aMetrics)
 {
-  return [&aInstance](const HttpRequest& aRequest) {
-    HttpReply reply = Route(aInstance, aRequest);
+  return [&aInstance, aMetrics](const HttpRequest& aRequest) {
+    const bool wantsMetrics = aMetrics != nullptr && aRequest.path_ == kMetricsPath;
+    HttpReply reply = wantsMetrics ? AnswerMetrics(aInstance, *aMetrics, aRequest) : Route(aInstance, aRequest);
     // Callers on kept connections must move to another instance before this one exits.
     if (aInstance.IsLeaving()) {
       reply.headers_["Connection"] = "close";
--- a/src/adapters/caller_api.h
+++ b/src/adapters/caller_api.h
@@ -2,13 +2,15 @@
 #define IBISROCK_ADAPTERS_CALLER_API_H
 
 #include "adapters/http_server.h"
+#include "adapters/prometheus_metrics.h"
 #include "process/instance.h"
 
 namespace ibisrock::adapters {
 
-/// The HTTP API for callers and operators of one instance. aInstance outlives the server that uses the handler.
+/// The HTTP API for callers and operators of one instance. aInstance and aMetrics outlive the server that uses the
+/// handler. Without aMetrics, /metrics is an unknown path.
 HttpHandler
-MakeCallerApi(Instance& aInstance);
+MakeCallerApi(Instance& aInstance, PrometheusMetrics* aMetrics = nullptr);
 
 /// Reads a query from the path and the headers. Returns no value when a header is malformed.
 std::optional<Query>
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -109,7 +109,8 @@
                                PeerAddress(aSettings.peerAddress_),
                                DataCentre(aSettings.dataCentre_),
                                CurrentIncarnation() };
-  auto instance = Instance::Create(self, { *timers, random, **transport, targets, store, instances }, reason);
+  adapters::PrometheusMetrics metrics;
+  auto instance = Instance::Create(self, { *timers, random, **transport, targets, store, instances, &metrics }, reason);
   if (!instance) {
     return Fail(reason);
   }
@@ -123,7 +124,7 @@
                                                .maxHeader_ = aSettings.maxHeader_,
                                                .readTimeout_ = aSettings.readTimeout_,
                                                .keepAlive_ = aSettings.keepAlive_ },
-                                             adapters::MakeCallerApi(**instance),
+                                             adapters::MakeCallerApi(**instance, &metrics),
                                              reason);
   if (!server) {
     return Fail(reason);
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -29,9 +29,26 @@
 {
 }
 
+AnswerCallback
+Coordinator::Counted(const ServiceName& aService, AnswerCallback aCallback) const
+{
+  if (environment_.metrics_ == nullptr) {
+    return aCallback;
+  }
+  return [metrics = environment_.metrics_,
+          &timers = environment_.timers_,
+          aService,
+          start = environment_.timers_.Now(),
+          callback = std::move(aCallback)](Answer aAnswer) {
+    metrics->OnAnswer(aService, aAnswer, timers.Now() - start);
+    callback(std::move(aAnswer));
+  };
+}
+
 void
 Coordinator::Submit(Query aQuery, AnswerCallback aCallback)
 {
+  aCallback = Counted(aQuery.service_, std::move(aCallback));
   const RequestId id{ self_.id_, self_.incarnation_, ++lastSequence_ };
   auto configuration = config_.Current();
   if (!configuration) {
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -21,6 +21,9 @@
   uint64_t InFlight() const { return inFlight_.load(); }
 
 private:
+  /// Wraps the callback so that every answer and refusal is counted.
+  AnswerCallback Counted(const ServiceName& aService, AnswerCallback aCallback) const;
+
   const InstanceIdentity self_;
   Environment environment_;
   const ConfigKeeper& config_;
--- a/src/process/environment.h
+++ b/src/process/environment.h
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "base/target_client.h"
 #include "base/timer_service.h"
+#include "process/metrics_sink.h"
 #include "wire/messages.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
   TargetClient& targets_;
   ObjectStore& store_;
   InstanceList& instances_;
+  /// Receives what the instance counts; none when it is null.
+  MetricsSink* metrics_ = nullptr;
 };
 
 /// Who an instance is. Fixed for the life of the process.
