--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -28,6 +28,9 @@
   ServiceTable& Services() { return services_; }
 
 private:
+  /// Wraps the callback so that every answer and refusal is counted.
+  AnswerCallback Counted(const ServiceName& aService, AnswerCallback aCallback) const;
+
   const InstanceIdentity self_;
   Environment environment_;
   const ConfigKeeper& config_;
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -45,6 +45,10 @@
   bool IsIdle() const;
   /// True when callers may be sent here. Otherwise aReason says why not.
   bool IsReady(LastReason& aReason) const;
+  /// True once a planned stop has begun.
+  bool IsLeaving() const { return leaving_; }
+  /// Queries that have not been answered yet.
+  uint64_t QueriesInFlight() const { return coordinator_.InFlight(); }
   /// Version of the configuration in force; none before the first.
   ConfigVersion ConfigInForce() const;
   /// What the runs of each service share, with their counters.
