Report every fault of a sheet in its place, and bound all decoders

Cause: lines were counted by record, so a quoted line break shifted all later lines; malformed UTF-8 silently ended a row; several limits that cannot hold together were accepted. Stored numbers were cut off to 32 bits, and a message header that announces 2^32 elements made the codec reserve memory for them.

Change: records are split with their lines and parsed one by one, so one malformed record hides no other. New checks: names that fit a URL path and a store key, ip:port, upper limits of all numbers, connections below twice the slots, connection set-up time against the deadline, caller limit against its service, one address or one target name with two settings, parts above 1 MB. The codec limits sizes and depth by the length of the message.

--- a/src/version/configuration.cpp
+++ b/src/version/configuration.cpp
@@ -1,6 +1,6 @@
 #include "version/configuration.h"
 
-#include <nlohmann/json.hpp>
+#include "version/stored_json.h"
 
 namespace ibisrock {
 
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+/// Largest stored duration, in microseconds; far above every limit of the sheet and safe to add to a point in time.
+constexpr uint64_t kMaxStoredMicros = uint64_t(1) << 53U;
+
 json
 EncodeTarget(const TargetConfig& aTarget)
 {
@@ -27,34 +30,35 @@
   target.shard_ = ShardName(aValue.at("shard").get<std::string>());
   target.address_ = TargetAddress(aValue.at("address").get<std::string>());
   target.dataCentre_ = DataCentre(aValue.at("data_centre").get<std::string>());
-  target.slots_ = aValue.at("slots").get<uint32_t>();
-  target.connections_ = aValue.at("connections").get<uint32_t>();
-  target.connectTime_ = Micros(aValue.at("connect_us").get<int64_t>());
+  target.slots_ = static_cast<uint32_t>(StoredNumber(aValue, "slots", UINT32_MAX));
+  target.connections_ = static_cast<uint32_t>(StoredNumber(aValue, "connections", UINT32_MAX));
+  target.connectTime_ = Micros(StoredNumber(aValue, "connect_us", kMaxStoredMicros));
   return target;
 }
 
-json
-EncodeShards(const ShardMap& aMap)
+/// Checks what the dispatch of a query relies on: every shard names targets, and every one of them is described.
+void
+CheckShards(const ServiceConfig& aService)
 {
-  json shards = json::object();
-  for (const auto& [shard, targets] : aMap.shards_) {
-    json& names = shards[shard.Value()] = json::array();
+  for (const auto& [shard, targets] : aService.shardMap_.shards_) {
     for (const TargetName& target : targets) {
-      names.push_back(target.Value());
+      if (!aService.targets_.contains(target)) {
+        throw StoredValueError("shard " + shard.Value() + " names an unknown target");
+      }
     }
   }
-  return shards;
 }
 
-void
-DecodeShards(const json& aValue, ShardMap& aMap)
+Priority
+DecodePriority(const json& aValue)
 {
-  for (const auto& [shard, names] : aValue.items()) {
-    std::vector<TargetName>& targets = aMap.shards_[ShardName(shard)];
-    for (const json& name : names) {
-      targets.emplace_back(name.get<std::string>());
-    }
+  if (aValue == "coverage") {
+    return Priority::Coverage;
+  }
+  if (aValue == "latency") {
+    return Priority::Latency;
   }
+  throw StoredValueError("unknown priority");
 }
 
 ServiceConfig
@@ -62,19 +66,20 @@
 {
   ServiceConfig service;
   service.name_ = ServiceName(aValue.at("name").get<std::string>());
-  service.priority_ = aValue.at("priority") == "coverage" ? Priority::Coverage : Priority::Latency;
-  service.deadline_ = Micros(aValue.at("deadline_us").get<int64_t>());
-  service.softDeadline_ = Micros(aValue.at("soft_deadline_us").get<int64_t>());
+  service.priority_ = DecodePriority(aValue.at("priority"));
+  service.deadline_ = Micros(StoredNumber(aValue, "deadline_us", kMaxStoredMicros));
+  service.softDeadline_ = Micros(StoredNumber(aValue, "soft_deadline_us", kMaxStoredMicros));
   service.maxQueries_ = PerSecond{ aValue.at("queries_per_second").get<double>() };
-  service.maxConcurrent_ = aValue.at("concurrent").get<uint32_t>();
-  service.shardMap_.version_ = IndexVersion(aValue.at("index_version").get<uint64_t>());
-  DecodeShards(aValue.at("shards"), service.shardMap_);
+  service.maxConcurrent_ = static_cast<uint32_t>(StoredNumber(aValue, "concurrent", UINT32_MAX));
+  service.shardMap_.version_ = IndexVersion(StoredNumber(aValue, "index_version", UINT64_MAX));
+  service.shardMap_.shards_ = DecodeShards(aValue.at("shards"));
   for (const auto& [name, limit] : aValue.at("callers").items()) {
     service.callerLimits_[CallerName(name)] = PerSecond{ limit.get<double>() };
   }
   for (const auto& [name, target] : aValue.at("targets").items()) {
     service.targets_[TargetName(name)] = DecodeTarget(name, target);
   }
+  CheckShards(service);
   return service;
 }
 
@@ -99,7 +104,7 @@
     { "queries_per_second", aService.maxQueries_.value_ },
     { "concurrent", aService.maxConcurrent_ },
     { "index_version", aService.shardMap_.version_.Value() },
-    { "shards", EncodeShards(aService.shardMap_) },
+    { "shards", EncodeShards(aService.shardMap_.shards_) },
     { "callers", callers },
     { "targets", targets }
   }.dump();
@@ -108,12 +113,7 @@
 std::optional<ServiceConfig>
 DecodeService(const std::string& aText, LastReason& aReason)
 {
-  try {
-    return DecodeServiceValue(json::parse(aText));
-  } catch (const json::exception& error) {
-    aReason.Set(std::string("stored service is malformed: ") + error.what());
-    return std::nullopt;
-  }
+  return DecodeStored(aText, "service", &DecodeServiceValue, aReason);
 }
 
 } // namespace ibisrock
--- a/src/version/csv_rows.h
+++ b/src/version/csv_rows.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_VERSION_CSV_ROWS_H
 #define IBISROCK_VERSION_CSV_ROWS_H
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -8,10 +9,21 @@
 
 using CsvRow = std::vector<std::string>;
 
-/// Splits comma-separated text into rows. Returns false and sets aError when the text is not CSV. The source file is
-/// compiled as C++17, because cxxtools' string header uses allocator members that C++20 removed.
-bool
-SplitCsvRows(const std::string& aText, std::vector<CsvRow>& aRows, std::string& aError);
+/// One record of comma-separated text.
+struct CsvRecord
+{
+  /// Line on which the record begins, counted from 1.
+  size_t line_ = 0;
+  /// Empty for a blank line and for a malformed record.
+  CsvRow row_;
+  /// Why the record is malformed; empty otherwise.
+  std::string error_;
+};
+
+/// Splits comma-separated text into records with their lines. A malformed record does not hide the ones after it. The
+/// source file is compiled as C++17, because cxxtools' string header uses allocator members that C++20 removed.
+std::vector<CsvRecord>
+SplitCsvRecords(const std::string& aText);
 
 } // namespace ibisrock
 
--- a/src/version/manifest.cpp
+++ b/src/version/manifest.cpp
@@ -1,8 +1,7 @@
 #include "version/manifest.h"
 
 #include "base/hashing.h"
-
-#include <nlohmann/json.hpp>
+#include "version/stored_json.h"
 
 namespace ibisrock {
 
@@ -14,13 +13,13 @@
 DecodeManifestValue(const json& aValue)
 {
   Manifest manifest;
-  manifest.version_ = ConfigVersion(aValue.at("version").get<uint64_t>());
+  manifest.version_ = ConfigVersion(StoredNumber(aValue, "version", UINT64_MAX));
   manifest.sheetHash_ = aValue.at("sheet").get<std::string>();
   for (const auto& [service, hash] : aValue.at("parts").items()) {
     manifest.partHashes_[ServiceName(service)] = hash.get<std::string>();
   }
   for (const json& entry : aValue.at("history")) {
-    manifest.history_.push_back({ ConfigVersion(entry.at("version").get<uint64_t>()),
+    manifest.history_.push_back({ ConfigVersion(StoredNumber(entry, "version", UINT64_MAX)),
                                   entry.at("sheet").get<std::string>(),
                                   entry.at("apply_id").get<std::string>() });
   }
@@ -58,12 +57,7 @@
 std::optional<Manifest>
 DecodeManifest(const std::string& aText, LastReason& aReason)
 {
-  try {
-    return DecodeManifestValue(json::parse(aText));
-  } catch (const json::exception& error) {
-    aReason.Set(std::string("stored manifest is malformed: ") + error.what());
-    return std::nullopt;
-  }
+  return DecodeStored(aText, "manifest", &DecodeManifestValue, aReason);
 }
 
 std::string
--- a/src/version/sheet.cpp
+++ b/src/version/sheet.cpp
@@ -1,8 +1,11 @@
 #include "version/sheet.h"
 
+#include "base/object_store.h"
 #include "version/csv_rows.h"
+#include "version/sheet_checks.h"
 
-#include <charconv>
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ibisrock {
@@ -31,6 +34,16 @@
     size_t columns_;
     void (SheetReader::*read_)(const Row&);
   };
+  struct Range
+  {
+    uint64_t minimum_;
+    uint64_t maximum_;
+  };
+  struct SeenTarget
+  {
+    size_t line_;
+    TargetConfig target_;
+  };
   static const std::vector<RowKind> kRowKinds;
 
   void ReadSheet(const Row& aRow);
@@ -38,14 +51,24 @@
   void ReadCaller(const Row& aRow);
   void ReadShard(const Row& aRow);
   void ReadTarget(const Row& aRow);
+  TargetConfig MakeTarget(const Row& aRow);
+  void CheckTargetLimits(const TargetConfig& aTarget, const ServiceConfig& aService);
+  void CheckAcrossServices(const TargetConfig& aTarget);
+  void CheckService(const ServiceConfig& aService);
 
   void AddFault(size_t aColumn, const std::string& aText) { faults_.push_back({ line_, aColumn, aText }); }
-  uint64_t Number(const Row& aRow, size_t aIndex, const char* aName, uint64_t aMinimum);
+  uint64_t Number(const Row& aRow, size_t aIndex, const char* aName, Range aRange);
+  const std::string& Name(const Row& aRow, size_t aIndex, const char* aKind);
   ServiceConfig* FindService(const Row& aRow);
 
   std::vector<SheetFault>& faults_;
   Sheet sheet_;
+  bool hasSheetRow_ = false;
   size_t line_ = 0;
+  std::map<ServiceName, size_t> serviceLines_;
+  std::map<std::pair<ServiceName, ShardName>, size_t> shardLines_;
+  std::map<TargetName, SeenTarget> targets_;
+  std::map<TargetAddress, SeenTarget> addresses_;
 };
 
 const std::vector<SheetReader::RowKind> SheetReader::kRowKinds = {
@@ -74,18 +97,26 @@
   AddFault(1, "unknown row kind \"" + aRow.front() + "\"");
 }
 
+/// Reads a number; a faulty one is recorded and replaced by the minimum, so that the other columns are still checked.
 uint64_t
-SheetReader::Number(const Row& aRow, size_t aIndex, const char* aName, uint64_t aMinimum)
+SheetReader::Number(const Row& aRow, size_t aIndex, const char* aName, Range aRange)
+{
+  if (auto value = ParseNumber(aRow[aIndex], aRange.minimum_, aRange.maximum_)) {
+    return *value;
+  }
+  AddFault(aIndex + 1,
+           std::string(aName) + " \"" + aRow[aIndex] + "\" is not a whole number from " +
+             std::to_string(aRange.minimum_) + " to " + std::to_string(aRange.maximum_));
+  return aRange.minimum_;
+}
+
+const std::string&
+SheetReader::Name(const Row& aRow, size_t aIndex, const char* aKind)
 {
-  const std::string& text = aRow[aIndex];
-  uint64_t value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || value < aMinimum) {
-    AddFault(aIndex + 1,
-             std::string(aName) + " \"" + text + "\" is not a whole number of at least " + std::to_string(aMinimum));
-    return aMinimum;
+  if (auto fault = FindNameFault(aRow[aIndex])) {
+    AddFault(aIndex + 1, std::string(aKind) + " name \"" + aRow[aIndex] + "\" " + *fault);
   }
-  return value;
+  return aRow[aIndex];
 }
 
 ServiceConfig*
@@ -102,38 +133,51 @@
 void
 SheetReader::ReadSheet(const Row& aRow)
 {
+  if (std::exchange(hasSheetRow_, true)) {
+    AddFault(1, "the sheet row is a duplicate");
+  }
   sheet_.name_ = aRow[1];
-  sheet_.base_ = ConfigVersion(Number(aRow, 2, "base version", 0));
+  sheet_.base_ = ConfigVersion(Number(aRow, 2, "base version", { 0, kMaxVersion }));
 }
 
 void
 SheetReader::ReadService(const Row& aRow)
 {
   ServiceConfig service;
-  service.name_ = ServiceName(aRow[1]);
+  service.name_ = ServiceName(Name(aRow, 1, "service"));
   if (aRow[2] != "latency" && aRow[2] != "coverage") {
     AddFault(3, "priority \"" + aRow[2] + "\" is neither latency nor coverage");
   }
   service.priority_ = aRow[2] == "coverage" ? Priority::Coverage : Priority::Latency;
-  service.deadline_ = Millis(Number(aRow, 3, "deadline in ms", 1));
-  service.softDeadline_ = Millis(Number(aRow, 4, "soft deadline in ms", 1));
-  service.maxQueries_ = PerSecond{ static_cast<double>(Number(aRow, 5, "queries per second", 1)) };
-  service.maxConcurrent_ = static_cast<uint32_t>(Number(aRow, 6, "concurrent queries", 1));
-  service.shardMap_.version_ = IndexVersion(Number(aRow, 7, "index version", 1));
-  if (service.softDeadline_ > service.deadline_) {
+  const size_t faultsBefore = faults_.size();
+  service.deadline_ = Millis(Number(aRow, 3, "deadline in ms", { 1, kMaxMillis }));
+  service.softDeadline_ = Millis(Number(aRow, 4, "soft deadline in ms", { 1, kMaxMillis }));
+  if (faults_.size() == faultsBefore && service.softDeadline_ > service.deadline_) {
     AddFault(5, "soft deadline is above the deadline");
   }
+  service.maxQueries_ = PerSecond{ static_cast<double>(Number(aRow, 5, "queries per second", { 1, kMaxRate })) };
+  service.maxConcurrent_ = static_cast<uint32_t>(Number(aRow, 6, "concurrent queries", { 1, kMaxConcurrent }));
+  service.shardMap_.version_ = IndexVersion(Number(aRow, 7, "index version", { 1, kMaxVersion }));
   if (!sheet_.services_.emplace(service.name_, service).second) {
     AddFault(2, "service \"" + aRow[1] + "\" is a duplicate");
+    return;
   }
+  serviceLines_[service.name_] = line_;
 }
 
 void
 SheetReader::ReadCaller(const Row& aRow)
 {
+  const CallerName caller(Name(aRow, 2, "caller"));
+  const PerSecond limit{ static_cast<double>(Number(aRow, 3, "queries per second", { 1, kMaxRate })) };
   ServiceConfig* service = FindService(aRow);
-  const PerSecond limit{ static_cast<double>(Number(aRow, 3, "queries per second", 1)) };
-  if (service != nullptr && !service->callerLimits_.emplace(CallerName(aRow[2]), limit).second) {
+  if (service == nullptr) {
+    return;
+  }
+  if (limit > service->maxQueries_) {
+    AddFault(4, "limit of caller \"" + aRow[2] + "\" is above the limit of its service");
+  }
+  if (!service->callerLimits_.emplace(caller, limit).second) {
     AddFault(3, "caller \"" + aRow[2] + "\" is a duplicate");
   }
 }
@@ -141,27 +185,74 @@
 void
 SheetReader::ReadShard(const Row& aRow)
 {
+  const ShardName shard(Name(aRow, 2, "shard"));
   ServiceConfig* service = FindService(aRow);
-  if (service != nullptr && !service->shardMap_.shards_.try_emplace(ShardName(aRow[2])).second) {
+  if (service == nullptr) {
+    return;
+  }
+  if (!service->shardMap_.shards_.try_emplace(shard).second) {
     AddFault(3, "shard \"" + aRow[2] + "\" is a duplicate");
+    return;
   }
+  shardLines_[{ service->name_, shard }] = line_;
 }
 
-void
-SheetReader::ReadTarget(const Row& aRow)
+TargetConfig
+SheetReader::MakeTarget(const Row& aRow)
 {
   TargetConfig target;
   target.shard_ = ShardName(aRow[2]);
-  target.name_ = TargetName(aRow[3]);
+  target.name_ = TargetName(Name(aRow, 3, "target"));
   target.address_ = TargetAddress(aRow[4]);
-  target.dataCentre_ = DataCentre(aRow[5]);
-  target.slots_ = static_cast<uint32_t>(Number(aRow, 6, "slots", 1));
-  target.connections_ = static_cast<uint32_t>(Number(aRow, 7, "connections", 2));
-  target.connectTime_ = Millis(Number(aRow, 8, "connection set-up time in ms", 0));
+  if (!IsIpAndPort(aRow[4])) {
+    AddFault(5, "address \"" + aRow[4] + "\" is not of the form ip:port");
+  }
+  target.dataCentre_ = DataCentre(Name(aRow, 5, "data centre"));
+  const size_t faultsBefore = faults_.size();
+  target.slots_ = static_cast<uint32_t>(Number(aRow, 6, "slots", { 1, kMaxTargetLimit }));
+  target.connections_ = static_cast<uint32_t>(Number(aRow, 7, "connections", { 1, kMaxTargetLimit }));
+  if (faults_.size() == faultsBefore && target.connections_ < 2 * target.slots_) {
+    AddFault(8, "connections are fewer than twice the slots");
+  }
+  target.connectTime_ = Millis(Number(aRow, 8, "connection set-up time in ms", { 0, kMaxMillis }));
+  return target;
+}
+
+void
+SheetReader::CheckTargetLimits(const TargetConfig& aTarget, const ServiceConfig& aService)
+{
+  if (aTarget.connectTime_ >= aService.deadline_) {
+    AddFault(9, "connection set-up time is not below the deadline of the service");
+  }
+}
+
+/// A target has one address and one set of limits, whichever services use it.
+void
+SheetReader::CheckAcrossServices(const TargetConfig& aTarget)
+{
+  const auto [byName, isNewName] = targets_.try_emplace(aTarget.name_, SeenTarget{ line_, aTarget });
+  if (!isNewName && !AreSameTarget(byName->second.target_, aTarget)) {
+    AddFault(
+      4, "target \"" + aTarget.name_.Value() + "\" has other settings on line " + std::to_string(byName->second.line_));
+  }
+  const auto [byAddress, isNewAddress] = addresses_.try_emplace(aTarget.address_, SeenTarget{ line_, aTarget });
+  if (!isNewAddress && byAddress->second.target_.name_ != aTarget.name_) {
+    AddFault(5,
+             "address \"" + aTarget.address_.Value() + "\" is also that of target \"" +
+               byAddress->second.target_.name_.Value() + "\" on line " + std::to_string(byAddress->second.line_));
+  }
+}
+
+void
+SheetReader::ReadTarget(const Row& aRow)
+{
+  const TargetConfig target = MakeTarget(aRow);
+  CheckAcrossServices(target);
   ServiceConfig* service = FindService(aRow);
   if (service == nullptr) {
     return;
   }
+  CheckTargetLimits(target, *service);
   auto shard = service->shardMap_.shards_.find(target.shard_);
   if (shard == service->shardMap_.shards_.end()) {
     AddFault(3, "shard \"" + aRow[2] + "\" has no shard row above this line");
@@ -174,23 +265,40 @@
   shard->second.push_back(target.name_);
 }
 
+void
+SheetReader::CheckService(const ServiceConfig& aService)
+{
+  line_ = serviceLines_[aService.name_];
+  if (aService.shardMap_.shards_.empty()) {
+    AddFault(0, "service \"" + aService.name_.Value() + "\" has no shard");
+  }
+  const size_t bytes = EncodeService(aService).size();
+  if (bytes > kMaxStoredValueBytes) {
+    AddFault(0,
+             "service \"" + aService.name_.Value() + "\" needs " + std::to_string(bytes) +
+               " bytes in the store, which holds " + std::to_string(kMaxStoredValueBytes));
+  }
+  for (const auto& [shard, targets] : aService.shardMap_.shards_) {
+    if (targets.empty()) {
+      line_ = shardLines_[{ aService.name_, shard }];
+      AddFault(0, "shard \"" + shard.Value() + "\" of service \"" + aService.name_.Value() + "\" has no target");
+    }
+  }
+}
+
 void
 SheetReader::CheckWhole()
 {
-  line_ = 0;
   for (const auto& [name, service] : sheet_.services_) {
-    if (service.shardMap_.shards_.empty()) {
-      AddFault(0, "service \"" + name.Value() + "\" has no shard");
-    }
-    for (const auto& [shard, targets] : service.shardMap_.shards_) {
-      if (targets.empty()) {
-        AddFault(0, "shard \"" + shard.Value() + "\" of service \"" + name.Value() + "\" has no target");
-      }
-    }
+    CheckService(service);
   }
+  line_ = 0;
   if (sheet_.services_.empty()) {
     AddFault(0, "the sheet has no service");
   }
+  if (sheet_.services_.size() > kMaxServices) {
+    AddFault(0, "the sheet has more than " + std::to_string(kMaxServices) + " services");
+  }
 }
 
 } // namespace
@@ -198,19 +306,19 @@
 std::optional<Sheet>
 ParseSheet(const std::string& aText, std::vector<SheetFault>& aFaults)
 {
-  std::vector<Row> rows;
-  std::string error;
-  if (!SplitCsvRows(aText, rows, error)) {
-    aFaults.push_back({ 0, 0, "the sheet is not CSV: " + error });
-    return std::nullopt;
-  }
+  aFaults.clear();
   SheetReader reader(aFaults);
-  for (size_t index = 0; index < rows.size(); index++) {
-    if (!rows[index].empty()) {
-      reader.ReadRow(index + 1, rows[index]);
+  for (const CsvRecord& record : SplitCsvRecords(aText)) {
+    if (!record.error_.empty()) {
+      aFaults.push_back({ record.line_, 0, record.error_ });
+    } else if (record.row_.size() > 1 || (record.row_.size() == 1 && !record.row_.front().empty())) {
+      reader.ReadRow(record.line_, record.row_);
     }
   }
   reader.CheckWhole();
+  std::stable_sort(aFaults.begin(), aFaults.end(), [](const SheetFault& aLeft, const SheetFault& aRight) {
+    return std::tie(aLeft.line_, aLeft.column_) < std::tie(aRight.line_, aRight.column_);
+  });
   if (!aFaults.empty()) {
     return std::nullopt;
   }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Deepest nesting of arrays in a message.
+constexpr size_t kMaxDepth = 32;
+
 /// Position of each field in the array that makes an envelope.
 enum EnvelopeField : uint8_t
 {
@@ -58,7 +61,11 @@
 Decode(std::string_view aBytes, LastReason& aReason)
 {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(aBytes.data(), aBytes.size());
+    // No element of a message takes less than one byte. Without these limits, a header that announces 2^32 elements
+    // makes the library reserve memory for all of them.
+    const msgpack::unpack_limit limit(
+      aBytes.size(), aBytes.size(), aBytes.size(), aBytes.size(), aBytes.size(), kMaxDepth);
+    const msgpack::object_handle handle = msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, limit);
     return DecodeObject(handle.get());
   } catch (const std::exception& error) {
     aReason.Set(std::string("message is malformed: ") + error.what());
