Settle every apply whose store answers were lost

Cause: a lost answer of the head update ended as unknown, a part or a read that failed once ended the apply, "unchanged" was stated on the word of a read that may lag, and a refusal did not say what differs.

The fake store can lose requests and answers by key, the fake network every n-th message, and calls are counted per instance.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,7 +1,9 @@
 #include "adapters/http_caller.h"
 #include "adapters/http_object_store.h"
+#include "base/timer_service.h"
 #include "version/apply.h"
 #include "version/sheet.h"
+#include "version/sheet_checks.h"
 
 #include <docopt/docopt.h>
 #include <fstream>
@@ -19,7 +21,7 @@
 
 Usage:
   ibisrock check SHEET
-  ibisrock apply SHEET --platform IP:PORT
+  ibisrock apply SHEET --platform IP:PORT [--base VERSION]
   ibisrock dump --instance IP:PORT
   ibisrock query SERVICE BODY --instance IP:PORT
   ibisrock --help
@@ -27,12 +29,14 @@
 
 Options:
   --platform IP:PORT   Address of the platform's object API.
+  --base VERSION       Version in force that the sheet replaces, instead of the one that the sheet names.
   --instance IP:PORT   Address for callers of an instance.
 
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage.
 )";
 
 constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
 
 using Arguments = std::map<std::string, docopt::value>;
 
@@ -74,9 +78,20 @@
   if (!sheet) {
     return kExitFailure;
   }
+  ApplyOptions options{ NewApplyId(), {} };
+  if (const docopt::value& base = aArguments.at("--base")) {
+    auto version = ParseNumber(base.asString(), 0, kMaxVersion);
+    if (!version) {
+      std::cerr << "ibisrock: --base " << base.asString() << " is not a version\n";
+      return kExitUsage;
+    }
+    options.base_ = ConfigVersion(*version);
+  }
+  const auto timers = SteadyTimerService::Create();
   adapters::HttpObjectStore store(aArguments.at("--platform").asString());
   std::promise<ApplyResult> promise;
-  ApplySheet(store, *sheet, NewApplyId(), [&promise](ApplyResult aResult) { promise.set_value(std::move(aResult)); });
+  ApplySheet(
+    store, *timers, *sheet, options, [&promise](ApplyResult aResult) { promise.set_value(std::move(aResult)); });
   const ApplyResult result = promise.get_future().get();
   std::cout << "version " << result.version_ << ": " << result.text_ << "\n";
   const bool done = result.outcome_ == ApplyOutcome::Accepted || result.outcome_ == ApplyOutcome::Unchanged;
--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -114,9 +114,11 @@
   const ListedInstance listed = Listed(aIndex);
   auto running = std::make_unique<Running>();
   running->transport_ = std::make_unique<FakeTransport>(network_, listed.address_);
+  running->store_ = std::make_unique<CountingStore>(store_);
   const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(++lastIncarnation_) };
   LastReason reason;
-  auto instance = Instance::Create(self, { timers_, random_, *running->transport_, targets_, store_, list_ }, reason);
+  auto instance =
+    Instance::Create(self, { timers_, random_, *running->transport_, targets_, *running->store_, list_ }, reason);
   if (!instance) {
     throw std::runtime_error(reason.Text());
   }
@@ -134,7 +136,7 @@
   if (!sheet) {
     throw std::runtime_error(faults.front().text_);
   }
-  ApplySheet(store_, *sheet, "first", [](const ApplyResult&) {});
+  ApplySheet(store_, timers_, *sheet, { "first", {} }, [](const ApplyResult&) {});
   std::vector<ListedInstance> listed;
   for (size_t index = 0; index < instances_.size(); index++) {
     listed.push_back(Listed(index));
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_FAKES_FAKE_CLUSTER_H
 #define IBISROCK_FAKES_FAKE_CLUSTER_H
 
+#include "fakes/counting_store.h"
 #include "fakes/fake_network.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_targets.h"
@@ -63,6 +64,8 @@
 
   Instance& At(size_t aIndex) { return *instances_.at(aIndex)->instance_; }
   bool IsRunning(size_t aIndex) const { return instances_.at(aIndex) != nullptr; }
+  /// Calls that the instance at this index has made to the store since it was launched.
+  StoreCalls StoreCallsOf(size_t aIndex) const { return instances_.at(aIndex)->store_->Calls(); }
   PeerAddress AddressOf(size_t aIndex) const;
   std::string SheetText() const;
   static TargetName TargetOf(unsigned aShard, unsigned aReplica);
@@ -79,6 +82,7 @@
   struct Running
   {
     std::unique_ptr<FakeTransport> transport_;
+    std::unique_ptr<CountingStore> store_;
     std::unique_ptr<Instance> instance_;
   };
 
--- a/src/fakes/fake_network.cpp
+++ b/src/fakes/fake_network.cpp
@@ -52,6 +52,13 @@
   delay_ = aDelay;
 }
 
+void
+FakeNetwork::SetLossInterval(uint64_t aInterval)
+{
+  std::lock_guard lock(mutex_);
+  lossInterval_ = aInterval;
+}
+
 bool
 FakeNetwork::Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes)
 {
@@ -61,7 +68,8 @@
   }
   messages_++;
   bytes_ += aBytes.size();
-  if (!cuts_.contains({ aFrom, aTo })) {
+  const bool isLost = lossInterval_ > 0 && messages_ % lossInterval_ == 0;
+  if (!isLost && !cuts_.contains({ aFrom, aTo })) {
     timers_.After(delay_, [this, aTo, bytes = std::move(aBytes)] { Deliver(aTo, bytes); });
   }
   return true;
--- a/src/fakes/fake_network.h
+++ b/src/fakes/fake_network.h
@@ -34,6 +34,8 @@
   /// Messages to a frozen address wait until it is thawed.
   void SetFrozen(const PeerAddress& aAddress, bool aFrozen);
   void SetDelay(Micros aDelay);
+  /// Every message whose number is a multiple of aInterval is lost without notice; 0 loses none.
+  void SetLossInterval(uint64_t aInterval);
 
   bool Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes);
   uint64_t MessagesSent() const;
@@ -48,6 +50,7 @@
   std::map<PeerAddress, Receiver> receivers_;
   std::set<std::pair<PeerAddress, PeerAddress>> cuts_;
   std::map<PeerAddress, std::vector<std::string>> frozen_;
+  uint64_t lossInterval_ = 0;
   uint64_t messages_ = 0;
   uint64_t bytes_ = 0;
 };
--- a/src/fakes/fake_store.cpp
+++ b/src/fakes/fake_store.cpp
@@ -95,10 +95,16 @@
     std::lock_guard lock(mutex_);
     calls_.puts_++;
     if (!faults_.outage_) {
-      result = Write(aKey, aValue, aExpected);
-      if (faults_.lostAnswers_ > 0) {
-        faults_.lostAnswers_--;
+      const bool canLose = aKey.starts_with(faults_.lostPrefix_);
+      if (canLose && faults_.lostRequests_ > 0) {
+        faults_.lostRequests_--;
         result = { StoreOutcome::Unknown, {}, {} };
+      } else {
+        result = Write(aKey, aValue, aExpected);
+        if (canLose && faults_.lostAnswers_ > 0) {
+          faults_.lostAnswers_--;
+          result = { StoreOutcome::Unknown, {}, {} };
+        }
       }
     }
   }
--- a/src/fakes/fake_store.h
+++ b/src/fakes/fake_store.h
@@ -19,6 +19,10 @@
   bool outage_ = false;
   /// Number of coming updates that take effect but whose answers are lost.
   unsigned lostAnswers_ = 0;
+  /// Number of coming updates that are lost before they take effect; they are answered as Unknown.
+  unsigned lostRequests_ = 0;
+  /// Only updates of keys with this prefix are lost.
+  std::string lostPrefix_;
   /// Reads answer with the value that was current this long ago.
   Micros readLag_{};
 };
