Spread configuration and index catalogues among peers, and let only watchers use the store

Cause: every instance kept a watch on the head and read every part from the store, so store calls grew with the fleet, and a store outage kept restarted instances without a configuration.

Change: ObjectSync keeps stored objects at their newest version, the head and the index catalogues alike. Two watchers in each data centre learn it from the store; the others fetch it, and only the parts that differ, from the peer that announced it, then from other peers, then from the store. A digest to a random peer each second repairs losses; 5 s without a word from peers lead to a read of the store. Lower versions, and another content of the same version, are refused and counted. An instance is ready after it has asked its peers for a higher version.

Conclusion: tests cover lost messages, outages, restarts with and without sources, lagging reads, an instance that is cut off and healed, reverting stores and peers, and forged parts.

--- /dev/null
+++ b/src/process/catalogue_keeper.cpp
@@ -0,0 +1,67 @@
+#include "process/catalogue_keeper.h"
+
+#include "base/hashing.h"
+
+#include <utility>
+
+namespace ibisrock {
+
+namespace {
+
+std::optional<ObjectContent>
+InspectCatalogue(const std::string& aText, LastReason& aReason)
+{
+  const auto catalogue = DecodeCatalogue(aText, aReason);
+  if (!catalogue) {
+    return std::nullopt;
+  }
+  return ObjectContent{ catalogue->version_, ContentHash(aText), {} };
+}
+
+} // namespace
+
+CatalogueKeeper::CatalogueKeeper(ObjectSync& aSync, ConfigKeeper& aConfig)
+  : sync_(aSync)
+{
+  aConfig.Subscribe([this](const Configuration& aConfiguration) { AddServices(aConfiguration); });
+}
+
+std::shared_ptr<const IndexCatalogue>
+CatalogueKeeper::Current(const ServiceName& aService) const
+{
+  std::lock_guard lock(mutex_);
+  auto found = catalogues_.find(aService);
+  return found == catalogues_.end() ? nullptr : found->second;
+}
+
+Candidates
+CatalogueKeeper::CandidateMaps(const ServiceConfig& aService) const
+{
+  return FindCandidates(aService, Current(aService.name_).get());
+}
+
+/// Begins to follow the catalogues of the services in force. A service that leaves the sheet is still followed, so
+/// that its catalogue cannot revert when the service comes back.
+void
+CatalogueKeeper::AddServices(const Configuration& aConfiguration)
+{
+  for (const auto& [service, part] : aConfiguration.services_) {
+    sync_.Add(CatalogueKey(service),
+              { &InspectCatalogue,
+                [this, name = service](const std::string& aText, const PartTexts&) { Accept(name, aText); } });
+  }
+}
+
+void
+CatalogueKeeper::Accept(const ServiceName& aService, const std::string& aText)
+{
+  LastReason reason;
+  auto decoded = DecodeCatalogue(aText, reason);
+  std::lock_guard lock(mutex_);
+  auto& current = catalogues_[aService];
+  if (decoded && (!current || current->version_ < decoded->version_)) {
+    current = std::make_shared<const IndexCatalogue>(std::move(*decoded));
+  }
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/process/catalogue_keeper.h
@@ -0,0 +1,37 @@
+#ifndef IBISROCK_PROCESS_CATALOGUE_KEEPER_H
+#define IBISROCK_PROCESS_CATALOGUE_KEEPER_H
+
+#include "process/config_keeper.h"
+#include "process/object_sync.h"
+#include "version/index_catalogue.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace ibisrock {
+
+/// Holds the newest index catalogue of each service that was ever in force here. Thread-safe.
+class CatalogueKeeper
+{
+public:
+  /// Subscribes to the configuration. Both arguments outlive this object.
+  CatalogueKeeper(ObjectSync& aSync, ConfigKeeper& aConfig);
+
+  /// The service's catalogue; null when there is none.
+  std::shared_ptr<const IndexCatalogue> Current(const ServiceName& aService) const;
+  /// Shard maps of the service, newest index version first.
+  Candidates CandidateMaps(const ServiceConfig& aService) const;
+
+private:
+  void AddServices(const Configuration& aConfiguration);
+  void Accept(const ServiceName& aService, const std::string& aText);
+
+  ObjectSync& sync_;
+  mutable std::mutex mutex_;
+  std::map<ServiceName, std::shared_ptr<const IndexCatalogue>> catalogues_;
+};
+
+} // namespace ibisrock
+
+#endif
--- a/src/process/config_keeper.cpp
+++ b/src/process/config_keeper.cpp
@@ -1,27 +1,38 @@
 #include "process/config_keeper.h"
 
+#include "version/manifest.h"
+
 #include <utility>
 
 namespace ibisrock {
 
 namespace {
 
-constexpr Micros kWatchTimeout = Seconds(30);
-constexpr Micros kRetryDelay = Millis(500);
+std::optional<ObjectContent>
+InspectManifest(const std::string& aText, LastReason& aReason)
+{
+  const auto manifest = DecodeManifest(aText, aReason);
+  if (!manifest) {
+    return std::nullopt;
+  }
+  if (SheetHash(manifest->partHashes_) != manifest->sheetHash_) {
+    aReason.Set("the sheet hash of the manifest does not fit its parts");
+    return std::nullopt;
+  }
+  ObjectContent content{ manifest->version_.Value(), manifest->sheetHash_, {} };
+  for (const auto& [service, hash] : manifest->partHashes_) {
+    content.parts_.push_back(PartKey(hash));
+  }
+  return content;
+}
 
 } // namespace
 
-/// A manifest whose parts are being read.
-struct ConfigKeeper::Loading
-{
-  Configuration configuration_;
-  std::vector<std::pair<ServiceName, std::string>> missing_;
-};
-
-void
-ConfigKeeper::Start()
+ConfigKeeper::ConfigKeeper(ObjectSync& aSync)
+  : sync_(aSync)
 {
-  WatchHead(StoreRevision());
+  sync_.Add(kConfigHeadKey,
+            { &InspectManifest, [this](const std::string& aText, const PartTexts& aParts) { Accept(aText, aParts); } });
 }
 
 std::shared_ptr<const Configuration>
@@ -31,74 +42,66 @@
   return current_;
 }
 
-void
-ConfigKeeper::WatchHead(StoreRevision aAfter)
+bool
+ConfigKeeper::IsReady(LastReason& aReason) const
 {
-  environment_.store_.Watch(kConfigHeadKey, aAfter, kWatchTimeout, [this, aAfter](const StoreResult& aResult) {
-    LastReason reason;
-    if (aResult.outcome_ != StoreOutcome::Ok) {
-      environment_.timers_.After(kRetryDelay, [this, aAfter] { WatchHead(aAfter); });
-      return;
-    }
-    if (auto manifest = DecodeManifest(aResult.value_, reason)) {
-      LoadParts(*manifest);
-    }
-    WatchHead(aResult.revision_);
-  });
+  if (!Current()) {
+    aReason.Set("no configuration has been read from the object API or a peer");
+    return false;
+  }
+  return sync_.IsReady(kConfigHeadKey, aReason);
 }
 
-void
-ConfigKeeper::LoadParts(const Manifest& aManifest)
+uint64_t
+ConfigKeeper::Undecodable() const
+{
+  std::lock_guard lock(mutex_);
+  return undecodable_;
+}
+
+/// Returns the decoded part, from the configuration in force if it holds it; null for a malformed part.
+std::shared_ptr<const ServiceConfig>
+ConfigKeeper::Decode(const std::string& aHash, const PartTexts& aParts) const
 {
-  auto loading = std::make_shared<Loading>();
-  loading->configuration_.version_ = aManifest.version_;
-  loading->configuration_.hash_ = aManifest.sheetHash_;
   {
     std::lock_guard lock(mutex_);
-    for (const auto& [service, hash] : aManifest.partHashes_) {
-      auto known = parts_.find(hash);
-      if (known != parts_.end()) {
-        loading->configuration_.services_[service] = known->second;
-      } else {
-        loading->missing_.emplace_back(service, hash);
-      }
+    if (auto known = parts_.find(aHash); known != parts_.end()) {
+      return known->second;
     }
   }
-  LoadPart(loading);
+  LastReason reason;
+  auto decoded = DecodeService(*aParts.at(PartKey(aHash)), reason);
+  return decoded ? std::make_shared<const ServiceConfig>(std::move(*decoded)) : nullptr;
 }
 
 void
-ConfigKeeper::LoadPart(const std::shared_ptr<Loading>& aLoading)
+ConfigKeeper::Accept(const std::string& aText, const PartTexts& aParts)
 {
-  if (aLoading->missing_.empty()) {
-    TakeInForce(std::make_shared<const Configuration>(aLoading->configuration_));
-    return;
-  }
-  const auto [service, hash] = aLoading->missing_.back();
-  environment_.store_.Get(PartKey(hash), [this, aLoading, service = service, hash = hash](const StoreResult& aResult) {
-    LastReason reason;
-    auto decoded = aResult.outcome_ == StoreOutcome::Ok ? DecodeService(aResult.value_, reason) : std::nullopt;
-    if (!decoded) {
-      environment_.timers_.After(kRetryDelay, [this, aLoading] { LoadPart(aLoading); });
+  LastReason reason;
+  const auto manifest = DecodeManifest(aText, reason);
+  auto next = std::make_shared<Configuration>();
+  next->version_ = manifest->version_;
+  next->hash_ = manifest->sheetHash_;
+  std::map<std::string, std::shared_ptr<const ServiceConfig>> decoded;
+  for (const auto& [service, hash] : manifest->partHashes_) {
+    auto part = Decode(hash, aParts);
+    if (!part) {
+      std::lock_guard lock(mutex_);
+      undecodable_++;
       return;
     }
-    auto part = std::make_shared<const ServiceConfig>(std::move(*decoded));
-    {
-      std::lock_guard lock(mutex_);
-      parts_[hash] = part;
+    next->services_[service] = decoded[hash] = std::move(part);
+  }
+  {
+    std::lock_guard lock(mutex_);
+    if (current_ && current_->version_ >= next->version_) {
+      return;
     }
-    aLoading->configuration_.services_[service] = std::move(part);
-    aLoading->missing_.pop_back();
-    LoadPart(aLoading);
-  });
-}
-
-void
-ConfigKeeper::TakeInForce(std::shared_ptr<const Configuration> aNext)
-{
-  std::lock_guard lock(mutex_);
-  if (!current_ || current_->version_ < aNext->version_) {
-    current_ = std::move(aNext);
+    current_ = next;
+    parts_ = std::move(decoded);
+  }
+  for (const Listener& listener : listeners_) {
+    listener(*next);
   }
 }
 
--- a/src/process/config_keeper.h
+++ b/src/process/config_keeper.h
@@ -1,13 +1,15 @@
 #ifndef IBISROCK_PROCESS_CONFIG_KEEPER_H
 #define IBISROCK_PROCESS_CONFIG_KEEPER_H
 
-#include "process/environment.h"
+#include "process/object_sync.h"
 #include "version/configuration.h"
-#include "version/manifest.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <vector>
 
 namespace ibisrock {
 
@@ -15,29 +17,32 @@
 class ConfigKeeper
 {
 public:
-  explicit ConfigKeeper(Environment aEnvironment)
-    : environment_(aEnvironment)
-  {
-  }
+  using Listener = std::function<void(const Configuration&)>;
 
-  /// Reads the configuration from the store and then watches for the next.
-  void Start();
+  /// Registers the configuration with aSync, which outlives this object.
+  explicit ConfigKeeper(ObjectSync& aSync);
+
+  /// Adds a part that is told of each configuration taken in force. To be called before the instance starts.
+  void Subscribe(Listener aListener) { listeners_.push_back(std::move(aListener)); }
   /// The configuration in force; null before the first one.
   std::shared_ptr<const Configuration> Current() const;
+  /// True when a configuration is in force that is as new as that of the known peers.
+  bool IsReady(LastReason& aReason) const;
+  /// Versions whose parts could not be decoded and that are therefore not in force.
+  uint64_t Undecodable() const;
 
 private:
-  struct Loading;
-
-  void WatchHead(StoreRevision aAfter);
-  void LoadParts(const Manifest& aManifest);
-  void LoadPart(const std::shared_ptr<Loading>& aLoading);
-  void TakeInForce(std::shared_ptr<const Configuration> aNext);
+  void Accept(const std::string& aText, const PartTexts& aParts);
+  std::shared_ptr<const ServiceConfig> Decode(const std::string& aHash, const PartTexts& aParts) const;
 
-  Environment environment_;
+  ObjectSync& sync_;
+  std::vector<Listener> listeners_;
 
   mutable std::mutex mutex_;
   std::shared_ptr<const Configuration> current_;
+  /// Decoded parts of the configuration in force by hash, so that unchanged ones are not decoded again.
   std::map<std::string, std::shared_ptr<const ServiceConfig>> parts_;
+  uint64_t undecodable_ = 0;
 };
 
 } // namespace ibisrock
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -39,7 +39,13 @@
             environment_,
             membership_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
-  , config_(environment_)
+  , sync_(self_,
+          environment_,
+          membership_,
+          gossip_,
+          [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
+  , config_(sync_)
+  , catalogues_(sync_, config_)
   , dispatchers_(environment_)
   , router_(self_,
             environment_,
@@ -49,13 +55,20 @@
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , coordinator_(self_, environment_, config_, router_)
 {
+  gossip_.Subscribe([this](const wire::Update& aUpdate) {
+    if (const auto* update = std::get_if<wire::VersionUpdate>(&aUpdate)) {
+      sync_.OnUpdate(*update);
+    }
+    // The update is spread again, with this instance as the holder, once the version is in force here.
+    return false;
+  });
 }
 
 void
 Instance::Start()
 {
   membership_.Start();
-  config_.Start();
+  sync_.Start();
 }
 
 void
@@ -86,6 +99,9 @@
                [&](const wire::SubReply& aReply) { router_.OnSubReply(aReply); },
                [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
                [&](const wire::Rumours& aRumours) { gossip_.OnRumours(aRumours); },
+               [&](const wire::ConfigDigest& aDigest) { sync_.OnDigest(envelope->replyTo_, aDigest); },
+               [&](const wire::ConfigFetch& aFetch) { sync_.OnFetch(envelope->replyTo_, aFetch); },
+               [&](const wire::ConfigParts& aParts) { sync_.OnParts(envelope->replyTo_, aParts); },
              },
              envelope->body_);
 }
@@ -110,11 +126,7 @@
     aReason.Set("the instance is leaving");
     return false;
   }
-  if (!config_.Current()) {
-    aReason.Set("no configuration has been read yet");
-    return false;
-  }
-  return true;
+  return config_.IsReady(aReason);
 }
 
 std::string
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -3,11 +3,13 @@
 
 #include "base/last_reason.h"
 #include "process/attempt_router.h"
+#include "process/catalogue_keeper.h"
 #include "process/config_keeper.h"
 #include "process/coordinator.h"
 #include "process/dispatcher_table.h"
 #include "process/gossip.h"
 #include "process/membership.h"
+#include "process/object_sync.h"
 
 #include <atomic>
 #include <memory>
@@ -39,6 +41,10 @@
   bool IsIdle() const;
   /// True when callers may be sent here. Otherwise aReason says why not.
   bool IsReady(LastReason& aReason) const;
+  /// The configuration in force; null before the first one.
+  std::shared_ptr<const Configuration> CurrentConfiguration() const { return config_.Current(); }
+  const CatalogueKeeper& Catalogues() const { return catalogues_; }
+  SyncCounters ConfigCounters() const { return sync_.Counters(); }
   /// State of every part as JSON.
   std::string DumpState() const;
 
@@ -51,7 +57,9 @@
   Environment environment_;
   Membership membership_;
   Gossip gossip_;
+  ObjectSync sync_;
   ConfigKeeper config_;
+  CatalogueKeeper catalogues_;
   DispatcherTable dispatchers_;
   AttemptRouter router_;
   Coordinator coordinator_;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -114,7 +114,42 @@
   std::vector<Update> updates_;
 };
 
-using Body = std::variant<SubRequest, SubReply, CancelAttempt, Rumours>;
+/// Version of one stored object that an instance holds.
+struct ObjectVersion
+{
+  std::string object_;
+  uint64_t version_ = 0;
+  /// Hash of the content, to find two contents of one version.
+  std::string hash_;
+};
+
+/// Versions of the stored objects that the sender holds. The receiver fetches what is higher.
+struct ConfigDigest
+{
+  std::vector<ObjectVersion> objects_;
+  /// True when the receiver is to answer with a digest of what it has higher.
+  bool isQuestion_ = false;
+};
+
+/// Asks for values by store key: objects, or parts of the configuration.
+struct ConfigFetch
+{
+  std::vector<std::string> keys_;
+};
+
+struct StoredValue
+{
+  std::string key_;
+  std::string value_;
+};
+
+/// Answer to ConfigFetch; values that the sender does not hold, or that would make the message too long, are left out.
+struct ConfigParts
+{
+  std::vector<StoredValue> values_;
+};
+
+using Body = std::variant<SubRequest, SubReply, CancelAttempt, Rumours, ConfigDigest, ConfigFetch, ConfigParts>;
 
 /// Every message between instances.
 struct Envelope
--- a/src/wire/msgpack_types.h
+++ b/src/wire/msgpack_types.h
@@ -161,6 +161,36 @@
   static auto Tie(auto& aValue) { return std::tie(aValue.updates_); }
 };
 
+template<>
+struct Fields<ObjectVersion>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.object_, aValue.version_, aValue.hash_); }
+};
+
+template<>
+struct Fields<ConfigDigest>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.objects_, aValue.isQuestion_); }
+};
+
+template<>
+struct Fields<ConfigFetch>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.keys_); }
+};
+
+template<>
+struct Fields<StoredValue>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.key_, aValue.value_); }
+};
+
+template<>
+struct Fields<ConfigParts>
+{
+  static auto Tie(auto& aValue) { return std::tie(aValue.values_); }
+};
+
 } // namespace ibisrock::wire
 
 namespace msgpack {
--- /dev/null
+++ b/tests/config_spread_test.cpp
@@ -0,0 +1,343 @@
+#include "fakes/fake_cluster.h"
+#include "process/watchers.h"
+#include "version/apply.h"
+#include "version/manifest.h"
+#include "wire/codec.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisrock {
+namespace {
+
+using fakes::ClusterShape;
+using fakes::FakeCluster;
+using fakes::StoreFaults;
+
+constexpr uint64_t kSeed = 7;
+/// Time in which a change must be in force everywhere.
+constexpr Seconds kLimit{ 4 };
+
+/// With one data centre, only 2 of the 7 instances watch an object.
+ClusterShape
+OneDataCentre()
+{
+  ClusterShape shape;
+  shape.dataCentres_ = 1;
+  return shape;
+}
+
+class ConfigSpread : public testing::Test
+{
+protected:
+  void SetUp() override { cluster_.Start(); }
+
+  /// Applies the cluster's sheet with another limit and advances time until it is accepted.
+  void Change(int aLimit)
+  {
+    const std::string old = std::to_string(ClusterShape{}.concurrent_) + ",1\n";
+    std::string text = cluster_.SheetText();
+    text.replace(text.find(old), old.size(), std::to_string(aLimit) + ",1\n");
+    std::vector<SheetFault> faults;
+    std::optional<ApplyResult> result;
+    ApplySheet(cluster_.store_,
+               cluster_.timers_,
+               ParseSheet(text, faults).value(),
+               { "change" + std::to_string(aLimit), {} },
+               [&result](ApplyResult aResult) { result = std::move(aResult); });
+    while (!result) {
+      cluster_.timers_.RunNext();
+    }
+    ASSERT_EQ(result->outcome_, ApplyOutcome::Accepted);
+  }
+  uint64_t VersionAt(size_t aIndex)
+  {
+    const auto configuration = cluster_.At(aIndex).CurrentConfiguration();
+    return configuration ? configuration->version_.Value() : 0;
+  }
+  std::vector<uint64_t> Versions()
+  {
+    std::vector<uint64_t> versions;
+    for (size_t index = 0; index < ClusterShape{}.instances_; index++) {
+      versions.push_back(cluster_.IsRunning(index) ? VersionAt(index) : 0);
+    }
+    return versions;
+  }
+  bool IsReady(size_t aIndex)
+  {
+    LastReason reason;
+    const bool isReady = cluster_.At(aIndex).IsReady(reason);
+    EXPECT_EQ(isReady, reason.Text().empty());
+    return isReady;
+  }
+  void SetFaults(Micros aLatency, bool aOutage, Micros aReadLag = Micros::zero())
+  {
+    StoreFaults faults;
+    faults.latency_ = aLatency;
+    faults.outage_ = aOutage;
+    faults.readLag_ = aReadLag;
+    cluster_.store_.SetFaults(faults);
+  }
+  void Isolate(size_t aIndex, bool aCut)
+  {
+    for (size_t other = 0; other < ClusterShape{}.instances_; other++) {
+      cluster_.network_.SetCut(cluster_.AddressOf(aIndex), cluster_.AddressOf(other), aCut);
+      cluster_.network_.SetCut(cluster_.AddressOf(other), cluster_.AddressOf(aIndex), aCut);
+    }
+  }
+  /// Overwrites a stored object, whatever its revision.
+  void Overwrite(const std::string& aKey, const std::string& aText)
+  {
+    cluster_.store_.Get(aKey, [this, aKey, aText](const StoreResult& aResult) {
+      cluster_.store_.Put(aKey, aText, aResult.revision_, [](const StoreResult&) {});
+    });
+    cluster_.timers_.Advance(Millis(100));
+  }
+  /// Hands a forged message of a peer to an instance.
+  void Inject(size_t aIndex, wire::Body aBody)
+  {
+    const wire::Envelope envelope{
+      InstanceId("forged"), PeerAddress("10.9.9.9:1"), Incarnation(1), {}, std::move(aBody)
+    };
+    cluster_.At(aIndex).Receive(wire::Encode(envelope));
+    cluster_.timers_.Advance(Millis(100));
+  }
+  std::string Stored(const std::string& aKey)
+  {
+    std::string text;
+    cluster_.store_.Get(aKey, [&text](const StoreResult& aResult) { text = aResult.value_; });
+    cluster_.timers_.Advance(Millis(100));
+    return text;
+  }
+
+  /// An instance that watches nothing and so depends on its peers.
+  size_t Follower()
+  {
+    size_t index = 0;
+    while (cluster_.StoreCallsOf(index).watches_ > 0) {
+      index++;
+    }
+    return index;
+  }
+
+  FakeCluster cluster_{ OneDataCentre(), kSeed };
+};
+
+using Same = std::vector<uint64_t>;
+
+// Guards against an instance that misses a change when messages are lost.
+TEST_F(ConfigSpread, LostMessages)
+{
+  cluster_.network_.SetLossInterval(3);
+  for (int change = 1; change <= 10; change++) {
+    Change(change);
+    cluster_.timers_.Advance(kLimit);
+    EXPECT_EQ(Versions(), Same(7, static_cast<uint64_t>(change) + 1));
+  }
+}
+
+// Guards against a change that only the store's presence can complete, once one watcher has it.
+TEST_F(ConfigSpread, OutageAfterTheChange)
+{
+  Change(1);
+  cluster_.timers_.Advance(Millis(10));
+  SetFaults(Millis(2), true);
+  cluster_.timers_.Advance(kLimit);
+  EXPECT_EQ(Versions(), Same(7, 2));
+}
+
+// Guards against an instance that a restart during a store outage leaves without, or with an old, configuration.
+TEST_F(ConfigSpread, RestartDuringOutage)
+{
+  const size_t follower = Follower();
+  Change(1);
+  cluster_.timers_.Advance(kLimit);
+  cluster_.Kill(follower);
+  SetFaults(Millis(2), true);
+  cluster_.Restart(follower);
+  EXPECT_FALSE(IsReady(follower));
+  cluster_.timers_.Advance(Seconds(2));
+  EXPECT_TRUE(IsReady(follower));
+  EXPECT_EQ(VersionAt(follower), 2U);
+}
+
+// Guards against readiness without any source, and against a reason that is missing.
+TEST_F(ConfigSpread, RestartWithoutSource)
+{
+  const size_t follower = Follower();
+  cluster_.Kill(follower);
+  Isolate(follower, true);
+  SetFaults(Millis(2), true);
+  cluster_.Restart(follower);
+  cluster_.timers_.Advance(Seconds(20));
+  EXPECT_FALSE(IsReady(follower));
+  SetFaults(Millis(2), false);
+  cluster_.timers_.Advance(Seconds(5));
+  EXPECT_TRUE(IsReady(follower));
+}
+
+// Guards against a restarted instance that serves what a lagging read gave it although its peers have more.
+TEST_F(ConfigSpread, RestartWithLaggingReads)
+{
+  const size_t follower = Follower();
+  Change(1);
+  cluster_.timers_.Advance(Seconds(10));
+  SetFaults(Millis(2), false, Seconds(12));
+  cluster_.Kill(follower);
+  cluster_.Restart(follower);
+  while (!IsReady(follower)) {
+    ASSERT_TRUE(cluster_.timers_.RunNext());
+  }
+  EXPECT_EQ(VersionAt(follower), 2U);
+}
+
+// Guards against an instance that peers cannot reach and that therefore keeps an old version.
+TEST_F(ConfigSpread, CutOffThenHealed)
+{
+  const size_t follower = Follower();
+  Isolate(follower, true);
+  cluster_.timers_.Advance(Seconds(1));
+  Change(1);
+  cluster_.timers_.Advance(Seconds(9));
+  EXPECT_EQ(VersionAt(follower), 2U);
+  Change(2);
+  cluster_.timers_.Advance(Millis(50));
+  SetFaults(Millis(2), false, Seconds(3600));
+  cluster_.timers_.Advance(Seconds(9));
+  EXPECT_EQ(VersionAt(follower), 2U);
+  Isolate(follower, false);
+  cluster_.timers_.Advance(kLimit);
+  EXPECT_EQ(Versions(), Same(7, 3));
+}
+
+// Guards against a reverting store or peer, and against two contents under one version number.
+TEST_F(ConfigSpread, NeverBackAndNeverTwoContents)
+{
+  const std::string first = Stored(kConfigHeadKey);
+  Change(1);
+  cluster_.timers_.Advance(kLimit);
+  const std::string second = Stored(kConfigHeadKey);
+  Overwrite(kConfigHeadKey, first);
+  Inject(0, wire::ConfigParts{ { { kConfigHeadKey, first } } });
+  EXPECT_EQ(Versions(), Same(7, 2));
+  EXPECT_GE(cluster_.At(0).ConfigCounters().lowerVersions_, 1U);
+
+  LastReason reason;
+  Manifest other = DecodeManifest(first, reason).value();
+  other.version_ = ConfigVersion(2);
+  Inject(0, wire::ConfigParts{ { { kConfigHeadKey, EncodeManifest(other) } } });
+  Inject(0, wire::ConfigDigest{ { { kConfigHeadKey, 2, other.sheetHash_ } }, false });
+  EXPECT_EQ(cluster_.At(0).ConfigCounters().otherContents_, 2U);
+  EXPECT_EQ(cluster_.At(0).CurrentConfiguration()->hash_, DecodeManifest(second, reason)->sheetHash_);
+}
+
+// Guards against a forged or damaged part that would be taken for the content behind a hash.
+TEST_F(ConfigSpread, RefusesAPartWithAnotherHash)
+{
+  Inject(0, wire::ConfigParts{ { { PartKey("00"), "{}" } } });
+  EXPECT_EQ(cluster_.At(0).ConfigCounters().malformed_, 1U);
+}
+
+// Guards against store calls by instances that are not watchers.
+TEST_F(ConfigSpread, OnlyWatchersCallTheStore)
+{
+  ClusterShape shape;
+  shape.instances_ = 20;
+  FakeCluster large(shape, kSeed);
+  large.Start();
+  std::vector<uint64_t> before;
+  for (size_t index = 0; index < shape.instances_; index++) {
+    const auto calls = large.StoreCallsOf(index);
+    before.push_back(calls.gets_ + calls.watches_);
+  }
+  large.timers_.Advance(Seconds(120));
+  size_t callers = 0;
+  for (size_t index = 0; index < shape.instances_; index++) {
+    const auto calls = large.StoreCallsOf(index);
+    callers += calls.gets_ + calls.watches_ > before[index] ? 1 : 0;
+  }
+  // Two in each of 4 data centres, for the head and for the one catalogue.
+  EXPECT_LE(callers, 16U);
+}
+
+// Guards against a catalogue that is not spread, that reverts, or that names targets nobody knows.
+TEST_F(ConfigSpread, CatalogueIsSpreadAndNeverReverts)
+{
+  const ServiceName service(fakes::kClusterService);
+  IndexCatalogue catalogue{
+    5, { { IndexVersion(2), cluster_.At(0).CurrentConfiguration()->services_.at(service)->shardMap_.shards_ } }
+  };
+  catalogue.maps_[0].shards_.begin()->second.emplace_back("nobody");
+  Overwrite(CatalogueKey(service), EncodeCatalogue(catalogue));
+  cluster_.timers_.Advance(kLimit);
+  catalogue.version_ = 4;
+  catalogue.maps_[0].version_ = IndexVersion(9);
+  Overwrite(CatalogueKey(service), EncodeCatalogue(catalogue));
+  cluster_.timers_.Advance(kLimit);
+  for (size_t index = 0; index < 7; index++) {
+    const auto part = cluster_.At(index).CurrentConfiguration()->services_.at(service);
+    const Candidates candidates = cluster_.At(index).Catalogues().CandidateMaps(*part);
+    ASSERT_EQ(candidates.maps_.size(), 2U);
+    EXPECT_EQ(candidates.maps_[0].version_, IndexVersion(2));
+    EXPECT_EQ(candidates.maps_[1].version_, IndexVersion(1));
+    EXPECT_EQ(candidates.unknownTargets_, 1U);
+  }
+}
+
+// Guards against watchers that grow with the instances, or a data centre without any.
+TEST(WatchersTest, TwoForEachDataCentre)
+{
+  MemberView view;
+  for (int index = 0; index < 100; index++) {
+    view.members_.push_back({ InstanceId("i" + std::to_string(index)),
+                              PeerAddress(),
+                              DataCentre(index == 0 ? "single" : "dc" + std::to_string(index % 3)),
+                              Incarnation(1),
+                              MemberState::Alive });
+  }
+  std::map<DataCentre, size_t> watchers;
+  for (const Member& member : view.members_) {
+    watchers[member.dataCentre_] += IsWatcher(view, member.id_, "config/head") ? 1 : 0;
+  }
+  EXPECT_EQ(
+    watchers,
+    (std::map<DataCentre, size_t>{
+      { DataCentre("dc0"), 2 }, { DataCentre("dc1"), 2 }, { DataCentre("dc2"), 2 }, { DataCentre("single"), 1 } }));
+  EXPECT_FALSE(IsWatcher(view, InstanceId("absent"), "config/head"));
+}
+
+struct CatalogueCase
+{
+  const char* name_;
+  const char* text_;
+  bool valid_;
+};
+
+class CatalogueDecoding : public testing::TestWithParam<CatalogueCase>
+{};
+
+// Guards against a malformed catalogue that takes a service's shard map away.
+TEST_P(CatalogueDecoding, Validates)
+{
+  LastReason reason;
+  EXPECT_EQ(DecodeCatalogue(GetParam().text_, reason).has_value(), GetParam().valid_) << reason.Text();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  CatalogueDecoding,
+  testing::Values(
+    CatalogueCase{ "Valid", R"({"version":1,"versions":[{"index_version":2,"shards":{"s":["t"]}}]})", true },
+    CatalogueCase{ "NoVersions", R"({"version":1,"versions":[]})", false },
+    CatalogueCase{ "NoShards", R"({"version":1,"versions":[{"index_version":2,"shards":{}}]})", false },
+    CatalogueCase{ "EmptyShard", R"({"version":1,"versions":[{"index_version":2,"shards":{"s":[]}}]})", false },
+    CatalogueCase{ "NegativeVersion",
+                   R"({"version":1,"versions":[{"index_version":-2,"shards":{"s":["t"]}}]})",
+                   false },
+    CatalogueCase{ "Twice",
+                   R"({"version":1,"versions":[{"index_version":2,"shards":{"s":["t"]}},)"
+                   R"({"index_version":2,"shards":{"s":["u"]}}]})",
+                   false }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace ibisrock
