--- a/experiment/scenarios.cpp
+++ b/experiment/scenarios.cpp
@@ -185,11 +185,15 @@
     const auto shift = static_cast<double>(aTrial.FaultRandom().Below(1000));
     sheet->services_.at(ServiceName(fakes::kClusterService)).maxQueries_.value_ += shift;
     const std::string applyId = "apply-" + std::to_string(aTrial.Cluster().timers_.Now().time_since_epoch().count());
-    ApplySheet(aTrial.Cluster().store_, *sheet, applyId, [&aTrial](const ApplyResult& aResult) {
-      if (aResult.outcome_ == ApplyOutcome::Accepted) {
-        aTrial.Recorder().AddAccepted(aResult.version_);
-      }
-    });
+    ApplySheet(aTrial.Cluster().store_,
+               aTrial.Cluster().timers_,
+               *sheet,
+               { applyId, {} },
+               [&aTrial](const ApplyResult& aResult) {
+                 if (aResult.outcome_ == ApplyOutcome::Accepted) {
+                   aTrial.Recorder().AddAccepted(aResult.version_);
+                 }
+               });
   });
 }
 
--- a/src/base/target_client.h
+++ b/src/base/target_client.h
@@ -72,8 +72,8 @@
   virtual void Start(const TargetAttempt& aAttempt, Callback aCallback) = 0;
   /// Asks the target to stop an attempt, without a promise that it does.
   virtual void Cancel(const AttemptId& aId) = 0;
-  /// Reads the target's health endpoint, which lags or misleads. aCallback is called exactly once, on any thread, within
-  /// about a second. The verdict is Ran when there was an answer; state_, boot_ and held_ are what it said.
+  /// Reads the target's health endpoint, which lags or misleads. aCallback is called exactly once, on any thread,
+  /// within about a second. The verdict is Ran when there was an answer; state_, boot_ and held_ are what it said.
   virtual void Probe(const TargetName& aTarget, const TargetAddress& aAddress, Callback aCallback) = 0;
 };
 
--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -128,7 +128,8 @@
   running->transport_ = std::make_unique<FakeTransport>(network_, listed.address_);
   running->timers_ = std::make_unique<GatedTimers>(timers_, running->gate_);
   running->targets_ = std::make_unique<GatedTargets>(targets_, running->gate_);
-  running->store_ = std::make_unique<GatedStore>(store_, running->gate_);
+  running->calls_ = std::make_unique<CountingStore>(store_);
+  running->store_ = std::make_unique<GatedStore>(*running->calls_, running->gate_);
   lastIncarnation_ += kIncarnationStep;
   const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(lastIncarnation_) };
   LastReason reason;
@@ -155,7 +156,7 @@
   if (!sheet) {
     throw std::runtime_error(faults.front().text_);
   }
-  ApplySheet(store_, *sheet, "first", [](const ApplyResult&) {});
+  ApplySheet(store_, timers_, *sheet, { "first", {} }, [](const ApplyResult&) {});
   std::vector<ListedInstance> listed;
   for (size_t index = 0; index < instances_.size(); index++) {
     listed.push_back(Listed(index));
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_FAKES_FAKE_CLUSTER_H
 #define IBISROCK_FAKES_FAKE_CLUSTER_H
 
+#include "fakes/counting_store.h"
 #include "fakes/fake_network.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_targets.h"
@@ -76,6 +77,8 @@
   const ClusterShape& Shape() const { return shape_; }
   /// Counts the starts at this index, so that a caller can tell whether the instance it asked is still there.
   uint64_t StartsAt(size_t aIndex) const { return starts_.at(aIndex); }
+  /// Calls that the instance at this index has made to the store since it was launched.
+  StoreCalls StoreCallsOf(size_t aIndex) const { return instances_.at(aIndex)->calls_->Calls(); }
   PeerAddress AddressOf(size_t aIndex) const;
   std::string SheetText() const;
   static TargetName TargetOf(unsigned aShard, unsigned aReplica);
@@ -95,6 +98,7 @@
     std::unique_ptr<FakeTransport> transport_;
     std::unique_ptr<GatedTimers> timers_;
     std::unique_ptr<GatedTargets> targets_;
+    std::unique_ptr<CountingStore> calls_;
     std::unique_ptr<GatedStore> store_;
     std::unique_ptr<Instance> instance_;
   };
--- a/src/fakes/fake_network.cpp
+++ b/src/fakes/fake_network.cpp
@@ -59,6 +59,13 @@
   loss_ = aShare;
 }
 
+void
+FakeNetwork::SetLossInterval(uint64_t aInterval)
+{
+  std::lock_guard lock(mutex_);
+  lossInterval_ = aInterval;
+}
+
 bool
 FakeNetwork::Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes)
 {
@@ -68,7 +75,8 @@
   }
   messages_++;
   bytes_ += aBytes.size();
-  if (!cuts_.contains({ aFrom, aTo }) && (loss_ == 0 || random_.Unit() >= loss_)) {
+  const bool isLost = (lossInterval_ > 0 && messages_ % lossInterval_ == 0) || (loss_ > 0 && random_.Unit() < loss_);
+  if (!isLost && !cuts_.contains({ aFrom, aTo })) {
     timers_.After(delay_, [this, aTo, bytes = std::move(aBytes)] { Deliver(aTo, bytes); });
   }
   return true;
--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -155,8 +155,8 @@
       crash = !target.crashBody_.empty() && target.crashBody_ == aAttempt.body_;
       const bool slow = random_.Unit() < target.slowShare_;
       const unsigned cold = target.state_ == TargetState::Warming ? target.coldFactor_ : 1U;
-      const Micros work =
-        target.connectTime_ + DrawServiceTime(target, random_) * cold * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
+      const Micros work = target.connectTime_ +
+                          DrawServiceTime(target, random_) * cold * (slow ? target.slowFactor_ : 1U) + 2 * kTargetDelay;
       const Micros held = std::min(work, aAttempt.budget_);
       const TimerId timer =
         timers_.After(held, [this, attempt = aAttempt, left = aAttempt.budget_ - work] { Finish(attempt, left); });
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -45,7 +45,13 @@
             membership_,
             gossip_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
-  , config_(environment_)
+  , sync_(self_,
+          environment_,
+          membership_,
+          gossip_,
+          [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
+  , config_(sync_)
+  , catalogues_(sync_, config_)
   , targetStates_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
   , crashGuard_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
   , targetPoller_(self_, environment_, membership_, config_, targetStates_)
@@ -68,13 +74,20 @@
     const auto* crash = std::get_if<wire::CrashUpdate>(&aUpdate);
     return crash != nullptr && crashGuard_.OnUpdate(*crash);
   });
+  gossip_.Subscribe([this](const wire::Update& aUpdate) {
+    if (const auto* update = std::get_if<wire::VersionUpdate>(&aUpdate)) {
+      sync_.OnUpdate(*update);
+    }
+    // The update is spread again, with this instance as the holder, once the version is in force here.
+    return false;
+  });
 }
 
 void
 Instance::Start()
 {
   prober_.Start();
-  config_.Start();
+  sync_.Start();
   targetPoller_.Start();
 }
 
@@ -111,6 +124,9 @@
                [&](const wire::Ping& aPing) { prober_.OnPing(envelope->replyTo_, aPing); },
                [&](const wire::Ack& aAck) { prober_.OnAck(aAck); },
                [&](const wire::PingRequest& aRequest) { prober_.OnPingRequest(envelope->replyTo_, aRequest); },
+               [&](const wire::ConfigDigest& aDigest) { sync_.OnDigest(envelope->replyTo_, aDigest); },
+               [&](const wire::ConfigFetch& aFetch) { sync_.OnFetch(envelope->replyTo_, aFetch); },
+               [&](const wire::ConfigParts& aParts) { sync_.OnParts(envelope->replyTo_, aParts); },
              },
              envelope->body_);
 }
@@ -143,11 +159,7 @@
     aReason.Set("the instance is leaving");
     return false;
   }
-  if (!config_.Current()) {
-    aReason.Set("no configuration has been read yet");
-    return false;
-  }
-  return true;
+  return config_.IsReady(aReason);
 }
 
 ConfigVersion
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -4,12 +4,14 @@
 #include "base/last_reason.h"
 #include "connection/peer_clock.h"
 #include "process/attempt_router.h"
+#include "process/catalogue_keeper.h"
 #include "process/config_keeper.h"
 #include "process/coordinator.h"
 #include "process/crash_guard.h"
 #include "process/dispatcher_table.h"
 #include "process/gossip.h"
 #include "process/membership.h"
+#include "process/object_sync.h"
 #include "process/prober.h"
 #include "process/target_poller.h"
 #include "process/target_states.h"
@@ -53,6 +55,10 @@
   ConfigVersion ConfigInForce() const;
   /// What the runs of each service share, with their counters.
   ServiceTable& Services() { return coordinator_.Services(); }
+  /// The configuration in force; null before the first one.
+  std::shared_ptr<const Configuration> CurrentConfiguration() const { return config_.Current(); }
+  const CatalogueKeeper& Catalogues() const { return catalogues_; }
+  SyncCounters ConfigCounters() const { return sync_.Counters(); }
   /// State of every part as JSON.
   std::string DumpState() const;
 
@@ -68,7 +74,9 @@
   Gossip gossip_;
   Prober prober_;
   PeerClock peerClock_;
+  ObjectSync sync_;
   ConfigKeeper config_;
+  CatalogueKeeper catalogues_;
   TargetStates targetStates_;
   CrashGuard crashGuard_;
   TargetPoller targetPoller_;
