Choose the test's follower by the watches that it still makes

Cause: four tests of config_spread_test took an instance without any watch call as the follower, but until an instance knows its peers it watches, so that all seven had one. Change: the follower is an instance that starts no further watch in 40 s; the expectations are unchanged. Result: the four tests pass.

--- a/tests/config_spread_test.cpp
+++ b/tests/config_spread_test.cpp
@@ -109,11 +109,18 @@
     return text;
   }
 
-  /// An instance that watches nothing and so depends on its peers.
+  /// An instance that watches nothing and so depends on its peers. Until it knows its peers every instance watches, and
+  /// such a watch lasts up to 30 s, so the watches are compared after that time.
   size_t Follower()
   {
+    cluster_.timers_.Advance(Seconds(40));
+    std::vector<uint64_t> before;
+    for (size_t index = 0; index < ClusterShape{}.instances_; index++) {
+      before.push_back(cluster_.StoreCallsOf(index).watches_);
+    }
+    cluster_.timers_.Advance(Seconds(40));
     size_t index = 0;
-    while (cluster_.StoreCallsOf(index).watches_ > 0) {
+    while (cluster_.StoreCallsOf(index).watches_ > before[index]) {
       index++;
     }
     return index;
