Cut an instance off from the store in the cut-and-heal test

Cause: an instance without live peers watches the store itself, so the test's instance got the change that it was meant to miss; that behaviour is right. Change: fakes can cut one instance off from the store, and the test does so before the second change; its expectations are unchanged.

--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -66,6 +66,8 @@
   /// Stops an instance as SIGSTOP does: nothing reaches it and it does nothing until Thaw.
   void Freeze(size_t aIndex);
   void Thaw(size_t aIndex);
+  /// Cuts one instance off from the store, or ends the cut.
+  void SetStoreCut(size_t aIndex, bool aCut) { instances_.at(aIndex)->store_->SetCut(aCut); }
   /// Gives a query to an instance; a frozen one takes it when it is thawed.
   void Submit(size_t aIndex, Query aQuery, AnswerCallback aCallback);
   /// Runs one query on an instance and advances time until it is answered.
--- a/src/fakes/process_gate.cpp
+++ b/src/fakes/process_gate.cpp
@@ -116,34 +116,40 @@
 }
 
 ObjectStore::Callback
-GatedStore::Gated(Callback aCallback) const
+GatedStore::Gated(Callback aCallback, StoreOutcome aCutOutcome) const
 {
-  return [gate = gate_, callback = std::move(aCallback)](const StoreResult& aResult) {
-    gate->Pass([callback, aResult] { callback(aResult); });
+  return [this, gate = gate_, callback = std::move(aCallback), aCutOutcome](const StoreResult& aResult) {
+    gate->Pass([callback, result = cut_ ? StoreResult{ aCutOutcome, {}, {} } : aResult] { callback(result); });
   };
 }
 
 void
 GatedStore::Get(const std::string& aKey, Callback aCallback)
 {
-  if (gate_->IsRunning()) {
-    store_.Get(aKey, Gated(std::move(aCallback)));
+  if (cut_) {
+    aCallback({});
+  } else if (gate_->IsRunning()) {
+    store_.Get(aKey, Gated(std::move(aCallback), StoreOutcome::Unavailable));
   }
 }
 
 void
 GatedStore::Put(const std::string& aKey, const std::string& aValue, StoreRevision aExpected, Callback aCallback)
 {
-  if (gate_->IsRunning()) {
-    store_.Put(aKey, aValue, aExpected, Gated(std::move(aCallback)));
+  if (cut_) {
+    aCallback({});
+  } else if (gate_->IsRunning()) {
+    store_.Put(aKey, aValue, aExpected, Gated(std::move(aCallback), StoreOutcome::Unknown));
   }
 }
 
 void
 GatedStore::Watch(const std::string& aKey, StoreRevision aAfter, Micros aTimeout, Callback aCallback)
 {
-  if (gate_->IsRunning()) {
-    store_.Watch(aKey, aAfter, aTimeout, Gated(std::move(aCallback)));
+  if (cut_) {
+    aCallback({});
+  } else if (gate_->IsRunning()) {
+    store_.Watch(aKey, aAfter, aTimeout, Gated(std::move(aCallback), StoreOutcome::Unavailable));
   }
 }
 
--- a/src/fakes/process_gate.h
+++ b/src/fakes/process_gate.h
@@ -80,11 +80,15 @@
   void Get(const std::string& aKey, Callback aCallback) override;
   void Put(const std::string& aKey, const std::string& aValue, StoreRevision aExpected, Callback aCallback) override;
   void Watch(const std::string& aKey, StoreRevision aAfter, Micros aTimeout, Callback aCallback) override;
+  /// While cut off, every call of this instance, also a waiting watch, fails as Unavailable.
+  void SetCut(bool aCut) { cut_ = aCut; }
 
 private:
-  Callback Gated(Callback aCallback) const;
+  /// aCutOutcome is the outcome of a call that was on its way when the cut began.
+  Callback Gated(Callback aCallback, StoreOutcome aCutOutcome) const;
 
   ObjectStore& store_;
+  bool cut_ = false;
   std::shared_ptr<ProcessGate> gate_;
 };
 
--- a/tests/config_spread_test.cpp
+++ b/tests/config_spread_test.cpp
@@ -206,9 +206,9 @@
   Change(1);
   cluster_.timers_.Advance(Seconds(9));
   EXPECT_EQ(VersionAt(follower), 2U);
+  // Without peers the instance watches the store itself, so it must lose the store too to miss a change.
+  cluster_.SetStoreCut(follower, true);
   Change(2);
-  cluster_.timers_.Advance(Millis(50));
-  SetFaults(Millis(2), false, Seconds(3600));
   cluster_.timers_.Advance(Seconds(9));
   EXPECT_EQ(VersionAt(follower), 2U);
   Isolate(follower, false);
