Use admission, keys, crash guard and target states in the coordinator

Cause: the parts existed but no query passed them. Change: Coordinator admits, asks the crash guard, claims keys, pins the version that VersionChoice finds, and records outcomes; replicas are chosen without leaving targets and with the ramp of restarted ones.

--- a/src/fakes/scripted_run.cpp
+++ b/src/fakes/scripted_run.cpp
@@ -71,7 +71,7 @@
 
 ScriptedRun::ScriptedRun(unsigned aShards, unsigned aReplicas)
   : random_(kSeed)
-  , state_({}, random_)
+  , state_({}, random_, targets_)
   , shards_(aShards)
   , replicas_(aReplicas)
 {
--- a/src/fakes/scripted_run.h
+++ b/src/fakes/scripted_run.h
@@ -68,6 +68,7 @@
   ManualTimerService timers_;
   Random random_;
   ScriptedSender sender_;
+  TargetStates targets_{ timers_, [](const wire::Update&) {} };
   ServiceState state_;
   ScriptedVersions versions_;
   RecordingCrashObserver crashes_;
--- /dev/null
+++ b/src/process/crash_reporter.h
@@ -0,0 +1,35 @@
+#ifndef IBISROCK_PROCESS_CRASH_REPORTER_H
+#define IBISROCK_PROCESS_CRASH_REPORTER_H
+
+#include "process/crash_guard.h"
+#include "request/crash_observer.h"
+
+namespace ibisrock {
+
+/// Passes what runs report to the crash guard.
+class CrashReporter final : public CrashObserver
+{
+public:
+  explicit CrashReporter(CrashGuard& aGuard)
+    : guard_(aGuard)
+  {
+  }
+
+  void OnConnectionLost(const CrashReport& aReport) override
+  {
+    guard_.OnConnectionLost(aReport.run_, aReport.fingerprint_, aReport.losses_.back().inFlight_);
+  }
+  void OnRunEnded(const CrashReport& aReport) override
+  {
+    if (aReport.canaryClean_) {
+      guard_.OnCleanCanary(aReport.fingerprint_);
+    }
+  }
+
+private:
+  CrashGuard& guard_;
+};
+
+} // namespace ibisrock
+
+#endif
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -64,7 +64,10 @@
             config_,
             dispatchers_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
-  , coordinator_(self_, environment_, config_, router_, aTuning)
+  , coordinator_(self_,
+                 environment_,
+                 { config_, membership_, catalogues_, targetStates_, crashGuard_, router_ },
+                 aTuning)
 {
   gossip_.Subscribe([this](const wire::Update& aUpdate) {
     const auto* target = std::get_if<wire::TargetUpdate>(&aUpdate);
--- a/src/process/service_table.cpp
+++ b/src/process/service_table.cpp
@@ -1,23 +1,25 @@
 #include "process/service_table.h"
 
+#include "process/state_aware_selector.h"
+
 namespace ibisrock {
 
 namespace {
 
 std::unique_ptr<ReplicaSelector>
-MakeSelector(const RunTuning& aTuning, Random& aRandom)
+MakeSelector(const RunTuning& aTuning, Random& aRandom, const TargetStates& aTargets)
 {
   if (aTuning.randomReplica_) {
     return std::make_unique<RandomSelector>(aRandom);
   }
-  return std::make_unique<BalancedSelector>(aRandom);
+  return std::make_unique<StateAwareSelector>(std::make_unique<BalancedSelector>(aRandom), aTargets, aRandom);
 }
 
 } // namespace
 
-ServiceState::ServiceState(const RunTuning& aTuning, Random& aRandom)
+ServiceState::ServiceState(const RunTuning& aTuning, Random& aRandom, const TargetStates& aTargets)
   : latency_(aTuning.hedgeQuantile_)
-  , selector_(MakeSelector(aTuning, aRandom))
+  , selector_(MakeSelector(aTuning, aRandom, aTargets))
 {
 }
 
@@ -28,7 +30,7 @@
   std::lock_guard lock(shard.mutex_);
   std::unique_ptr<ServiceState>& state = shard.states_[aService];
   if (!state) {
-    state = std::make_unique<ServiceState>(tuning_, random_);
+    state = std::make_unique<ServiceState>(tuning_, random_, targets_);
   }
   return *state;
 }
--- a/src/process/service_table.h
+++ b/src/process/service_table.h
@@ -4,6 +4,7 @@
 #include "process/extra_attempt_budget.h"
 #include "process/latency_tracker.h"
 #include "process/replica_selector.h"
+#include "process/target_states.h"
 #include "request/run_counters.h"
 
 #include <array>
@@ -25,7 +26,7 @@
 /// What the runs of one service share for the life of the process.
 struct ServiceState
 {
-  ServiceState(const RunTuning& aTuning, Random& aRandom);
+  ServiceState(const RunTuning& aTuning, Random& aRandom, const TargetStates& aTargets);
 
   LatencyTracker latency_;
   ExtraAttemptBudget budget_;
@@ -37,9 +38,10 @@
 class ServiceTable
 {
 public:
-  ServiceTable(RunTuning aTuning, Random& aRandom)
+  ServiceTable(RunTuning aTuning, Random& aRandom, const TargetStates& aTargets)
     : tuning_(aTuning)
     , random_(aRandom)
+    , targets_(aTargets)
   {
   }
 
@@ -57,6 +59,7 @@
 
   const RunTuning tuning_;
   Random& random_;
+  const TargetStates& targets_;
   std::array<Shard, kShardCount> shards_;
 };
 
--- /dev/null
+++ b/src/process/version_choice.cpp
@@ -0,0 +1,59 @@
+#include "process/version_choice.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+namespace {
+
+/// Time for which a version found missing is passed over, until gossip tells which targets hold it.
+constexpr Micros kMissingMemory = Millis(500);
+
+} // namespace
+
+bool
+VersionChoice::CanBeWhole(const ShardMap& aMap) const
+{
+  return std::all_of(aMap.shards_.begin(), aMap.shards_.end(), [&](const auto& aEntry) {
+    return std::any_of(aEntry.second.begin(), aEntry.second.end(), [&](const TargetName& aTarget) {
+      return !targets_.IsLeaving(aTarget) && targets_.MayHold(aTarget, aMap.version_);
+    });
+  });
+}
+
+bool
+VersionChoice::WasMissing(const ServiceName& aService, IndexVersion aVersion)
+{
+  std::lock_guard lock(mutex_);
+  auto found = missingUntil_.find({ aService, aVersion });
+  if (found == missingUntil_.end()) {
+    return false;
+  }
+  if (found->second > timers_.Now()) {
+    return true;
+  }
+  missingUntil_.erase(found);
+  return false;
+}
+
+std::optional<ShardMap>
+VersionChoice::Choose(const ServiceConfig& aService, const std::set<IndexVersion>& aMissing)
+{
+  std::vector<ShardMap> maps = catalogues_.CandidateMaps(aService).maps_;
+  std::erase_if(maps, [&](const ShardMap& aMap) { return aMissing.contains(aMap.version_); });
+  for (ShardMap& map : maps) {
+    if (!WasMissing(aService.name_, map.version_) && CanBeWhole(map)) {
+      return std::move(map);
+    }
+  }
+  return maps.empty() ? std::nullopt : std::optional(std::move(maps.front()));
+}
+
+void
+VersionChoice::OnVersionMissing(const ServiceName& aService, IndexVersion aVersion, const ShardName& /*aShard*/)
+{
+  std::lock_guard lock(mutex_);
+  missingUntil_[{ aService, aVersion }] = timers_.Now() + kMissingMemory;
+}
+
+} // namespace ibisrock
--- a/src/request/crash_observer.h
+++ b/src/request/crash_observer.h
@@ -22,6 +22,7 @@
 /// What a run shows about whether its query crashes targets.
 struct CrashReport
 {
+  RequestId run_;
   ServiceName service_;
   Fingerprint fingerprint_;
   /// Every connection loss of the run so far, in order.
--- a/src/request/query.h
+++ b/src/request/query.h
@@ -31,6 +31,15 @@
   std::optional<bool> fullCoverage_;
 };
 
+/// How loaded owners and targets were during a run, for admission.
+struct RunLoad
+{
+  /// An attempt was refused as overloaded, or expired in a queue.
+  bool overloaded_ = false;
+  /// The longest wait in an owner's queue.
+  Micros queueWait_{};
+};
+
 /// The answer to one query, or the refusal of it. Matches are merged over the covered shards, sorted by id.
 struct Answer
 {
@@ -48,6 +57,7 @@
   uint32_t attempts_ = 0;
   /// Suggested wait before the next try, for refusals over a limit.
   Micros retryAfter_{};
+  RunLoad load_;
 };
 
 using AnswerCallback = std::function<void(Answer)>;
--- a/src/request/query_run.h
+++ b/src/request/query_run.h
@@ -148,6 +148,7 @@
   bool restarting_ = false;
   unsigned restarts_ = 0;
   bool softDeadlinePassed_ = false;
+  RunLoad load_;
   TimerId deadlineTimer_;
   TimerId softTimer_;
   TimerId tickTimer_;
--- a/src/request/query_run_actions.cpp
+++ b/src/request/query_run_actions.cpp
@@ -96,7 +96,7 @@
 CrashReport
 QueryRun::MakeCrashReport() const
 {
-  return { plan_.query_.service_, fingerprint_, losses_, canaryClean_ };
+  return { plan_.id_, plan_.query_.service_, fingerprint_, losses_, canaryClean_ };
 }
 
 /// Needs the lock, and the attempts that are still open.
@@ -108,6 +108,7 @@
   answer.version_ = plan_.shards_.version_;
   answer.config_ = plan_.config_;
   answer.attempts_ = static_cast<uint32_t>(attempts_.size());
+  answer.load_ = load_;
   answer.verdict_ = Verdict::NotRun;
   for (auto& [shard, state] : shards_) {
     if (state.covered_) {
