--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -16,7 +16,7 @@
 
 Usage:
   ibisrock-experiment [--shape NAME] [--scenario NAME]... [--seconds N] [--seed N] [--load SHARE] [--no-naive]
-                      [--json] [--show-violations]
+                      [--hedge-quantile Q]                      [--json] [--show-violations]
   ibisrock-experiment --list
   ibisrock-experiment --help
 
@@ -26,6 +26,7 @@
   --seconds N          Length of the load on the manual clock [default: 30].
   --seed N             Seed of all random numbers [default: 1].
   --load SHARE         Share of the shape's capacity that is offered; each scenario has its own default.
+  --hedge-quantile Q   Latency quantile after which the current variant hedges.
   --no-naive           Runs the current variant only.
   --json               Prints JSON in place of a table.
   --show-violations    Prints each breach of a promise.
@@ -78,6 +79,9 @@
   settings.shape_ = aShape.shape_;
   settings.shape_.tuning_.hedges_ = !aNaive;
   settings.shape_.tuning_.randomReplica_ = aNaive;
+  if (aArguments.at("--hedge-quantile")) {
+    settings.shape_.tuning_.hedgeQuantile_ = std::stod(aArguments.at("--hedge-quantile").asString());
+  }
   settings.scenario_ = &aScenario;
   settings.load_ = aArguments.at("--load") ? std::stod(aArguments.at("--load").asString()) : aScenario.load_;
   settings.duration_ = Seconds(aArguments.at("--seconds").asLong());
--- a/experiment/trial.cpp
+++ b/experiment/trial.cpp
@@ -181,7 +181,10 @@
   (aAnswer.missing_.empty() ? result_.whole_ : result_.partial_)++;
   const size_t shards = aAnswer.covered_.size() + aAnswer.missing_.size();
   coverageSum_ += static_cast<double>(aAnswer.covered_.size()) / static_cast<double>(shards);
-  answeredShards_ += shards;
+  // A replayed answer has the request id of the run that gave it and made no target work again.
+  if (answeredRuns_.insert(aAnswer.request_).second) {
+    answeredShards_ += shards;
+  }
 }
 
 TrialResult
--- a/experiment/trial.h
+++ b/experiment/trial.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,7 @@
   std::vector<Micros> latencies_;
   double coverageSum_ = 0;
   uint64_t answeredShards_ = 0;
+  std::set<RequestId> answeredRuns_;
   TrialResult result_;
 };
 
--- a/src/process/concurrency_limit.h
+++ b/src/process/concurrency_limit.h
@@ -13,9 +13,9 @@
   /// How one query ended.
   struct Sample
   {
-    /// An attempt was refused as overloaded, or expired in a queue.
+    /// A shard was missed because owners or targets were overloaded.
     bool overloaded_ = false;
-    /// The longest wait in an owner's queue.
+    /// Mean wait in the owners' queues over the shards.
     Micros queueWait_{};
     /// Queries in flight when this one started, itself included.
     unsigned inFlight_ = 0;
--- a/src/request/query.h
+++ b/src/request/query.h
@@ -34,9 +34,9 @@
 /// How loaded owners and targets were during a run, for admission.
 struct RunLoad
 {
-  /// An attempt was refused as overloaded, or expired in a queue.
+  /// A shard is missing because its last attempt was refused as overloaded or expired in a queue.
   bool overloaded_ = false;
-  /// The longest wait in an owner's queue.
+  /// Mean wait in the owners' queues over the shards. The mean, because one straggling shard is no overload.
   Micros queueWait_{};
 };
 
--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -171,8 +171,7 @@
 {
   Close(aAttempt);
   const TargetReply& reply = aReply.reply_;
-  load_.queueWait_ = std::max(load_.queueWait_, aReply.queueWait_);
-  load_.overloaded_ = load_.overloaded_ || reply.reason_ == Reason::Overloaded || reply.reason_ == Reason::Expired;
+  queueWaitSum_ += aReply.queueWait_;
   if (reply.verdict_ != Verdict::Ran || reply.version_ != plan_.shards_.version_) {
     HandleFailure(aAttempt.shard_, aReply, aActions);
     return;
--- a/src/request/query_run.h
+++ b/src/request/query_run.h
@@ -107,6 +107,7 @@
 
   // The functions below need the lock.
   Answer BuildAnswer();
+  RunLoad MeasureLoad(const Answer& aAnswer) const;
   CrashReport MakeCrashReport() const;
   void StartRound(Actions& aActions);
   void BeginNextVersion(ShardMap aNext, Actions& aActions);
@@ -148,7 +149,8 @@
   bool restarting_ = false;
   unsigned restarts_ = 0;
   bool softDeadlinePassed_ = false;
-  RunLoad load_;
+  /// Sum over all settled attempts.
+  Micros queueWaitSum_{};
   TimerId deadlineTimer_;
   TimerId softTimer_;
   TimerId tickTimer_;
--- a/src/request/query_run_actions.cpp
+++ b/src/request/query_run_actions.cpp
@@ -99,6 +99,18 @@
   return { plan_.id_, plan_.query_.service_, fingerprint_, losses_, canaryClean_ };
 }
 
+/// Needs the lock.
+RunLoad
+QueryRun::MeasureLoad(const Answer& aAnswer) const
+{
+  RunLoad load;
+  load.queueWait_ = queueWaitSum_ / static_cast<int64_t>(std::max<size_t>(shards_.size(), 1));
+  for (const auto& [shard, reason] : aAnswer.missing_) {
+    load.overloaded_ = load.overloaded_ || reason == Reason::Overloaded || reason == Reason::Expired;
+  }
+  return load;
+}
+
 /// Needs the lock, and the attempts that are still open.
 Answer
 QueryRun::BuildAnswer()
@@ -108,7 +120,6 @@
   answer.version_ = plan_.shards_.version_;
   answer.config_ = plan_.config_;
   answer.attempts_ = static_cast<uint32_t>(attempts_.size());
-  answer.load_ = load_;
   answer.verdict_ = Verdict::NotRun;
   for (auto& [shard, state] : shards_) {
     if (state.covered_) {
@@ -128,6 +139,7 @@
   if (!answer.missing_.empty()) {
     answer.verdict_ = Combine(answer.verdict_, earlierVerdict_);
   }
+  answer.load_ = MeasureLoad(answer);
   std::sort(answer.matches_.begin(), answer.matches_.end());
   return answer;
 }
