--- a/src/process/latency_tracker.cpp
+++ b/src/process/latency_tracker.cpp
@@ -14,9 +14,6 @@
 constexpr Micros kHalving = Seconds(5);
 /// Observations below which a high quantile is only noise.
 constexpr double kMinTotal = 100;
-/// A hedge never starts before this multiple of the median. Where most latencies are nearly equal, a high quantile is
-/// that common value, and hedges at it spend the budget on attempts that are about to end.
-constexpr double kMedianFactor = 1.05;
 /// A computed quantile is used this long, because computing it passes over all bins.
 constexpr Micros kRefresh = Millis(100);
 
@@ -50,8 +47,7 @@
     return std::max(aFallback, kFloor);
   }
   if (computed_ == Micros::zero() || aNow - computedAt_ >= kRefresh) {
-    const auto usual = std::chrono::duration_cast<Micros>(kMedianFactor * Quantile(0.5));
-    computed_ = std::max({ Quantile(quantile_), usual, kFloor });
+    computed_ = std::max(Quantile(), kFloor);
     computedAt_ = aNow;
   }
   return computed_;
@@ -59,13 +55,13 @@
 
 /// The quantile, interpolated within its bin. Needs the lock.
 Micros
-LatencyTracker::Quantile(double aShare) const
+LatencyTracker::Quantile() const
 {
   const Axis& axis = histogram_.axis();
   double below = 0;
   for (int bin = 0; bin < axis.size(); bin++) {
     const double weight = histogram_.at(bin).value();
-    const double needed = aShare * total_ - below;
+    const double needed = quantile_ * total_ - below;
     if (weight > 0 && weight >= needed) {
       const double lower = axis.bin(bin).lower();
       return Micros(static_cast<Micros::rep>(lower + (axis.bin(bin).upper() - lower) * needed / weight));
--- a/src/process/latency_tracker.h
+++ b/src/process/latency_tracker.h
@@ -29,7 +29,7 @@
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   using Histogram = decltype(boost::histogram::make_weighted_histogram(Axis()));
 
-  Micros Quantile(double aShare) const;
+  Micros Quantile() const;
 
   const double quantile_;
   std::mutex mutex_;
