--- a/src/fakes/history_recorder.cpp
+++ b/src/fakes/history_recorder.cpp
@@ -57,17 +57,17 @@
                                     aQuery.key_,
                                     {} });
   const uint64_t start = cluster_.StartsAt(aIndex);
-  cluster_.At(aIndex).Submit(aQuery,
-                             [this, position, aIndex, start, observer = std::move(aObserver)](const Answer& aAnswer) {
-                               if (!cluster_.IsRunning(aIndex) || cluster_.StartsAt(aIndex) != start) {
-                                 return;
-                               }
-                               history::Submission& submission = history_.submissions_[position];
-                               submission.answers_.push_back(ToReceived(aAnswer, cluster_.timers_.Now()));
-                               if (observer) {
-                                 observer(submission, aAnswer);
-                               }
-                             });
+  cluster_.Submit(
+    aIndex, aQuery, [this, position, aIndex, start, observer = std::move(aObserver)](const Answer& aAnswer) {
+      if (!cluster_.IsRunning(aIndex) || cluster_.StartsAt(aIndex) != start) {
+        return;
+      }
+      history::Submission& submission = history_.submissions_[position];
+      submission.answers_.push_back(ToReceived(aAnswer, cluster_.timers_.Now()));
+      if (observer) {
+        observer(submission, aAnswer);
+      }
+    });
 }
 
 void
