--- a/cmake/ibisrockConfig.cmake
+++ b/cmake/ibisrockConfig.cmake
@@ -1,3 +1,26 @@
 include(CMakeFindDependencyMacro)
 find_dependency(Threads)
+
+# The library links xxhash and cxxtools by name, and its headers include the header-only pcg and msgpack. None of them
+# has a CMake package on Debian 12, so that a missing one is reported here instead of by the compiler or the linker.
+foreach(library xxhash cxxtools)
+  find_library(ibisrock_${library}_LIBRARY NAMES ${library})
+  if(NOT ibisrock_${library}_LIBRARY)
+    set(ibisrock_FOUND FALSE)
+    set(ibisrock_NOT_FOUND_MESSAGE "ibisrock needs the library ${library}")
+    return()
+  endif()
+  mark_as_advanced(ibisrock_${library}_LIBRARY)
+endforeach()
+foreach(header pcg_random.hpp msgpack.hpp)
+  string(MAKE_C_IDENTIFIER ${header} header_id)
+  find_path(ibisrock_${header_id}_DIR NAMES ${header})
+  if(NOT ibisrock_${header_id}_DIR)
+    set(ibisrock_FOUND FALSE)
+    set(ibisrock_NOT_FOUND_MESSAGE "ibisrock needs the header ${header}")
+    return()
+  endif()
+  mark_as_advanced(ibisrock_${header_id}_DIR)
+endforeach()
+
 include("${CMAKE_CURRENT_LIST_DIR}/ibisrockTargets.cmake")
