Log what an operator must know through LogSink

Cause: the library wrote no log lines, so that a refused configuration, a dead member or a blocked query left no trace. The answer log was written but never built.

Change: the Environment has an optional LogSink; ibisrockd gives it to easylogging++. ComponentLog limits each kind of line in 10 s and counts what it leaves out. Lines are written after unlocking: refusals and incomplete answers, configuration in force, lower version ignored, other or malformed content refused, member dead, leaving or back, target leaving or back, query blocked as crash suspect, steps of a planned stop.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "adapters/http_object_store.h"
 #include "adapters/http_target_client.h"
 #include "adapters/nng_transport.h"
+#include "daemon/logging.h"
 #include "daemon/settings.h"
 #include "process/instance.h"
 
@@ -13,8 +14,6 @@
 #include <random>
 #include <thread>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace {
 
 using namespace ibisrock;
@@ -59,31 +58,17 @@
 Drain(Instance& aInstance, Micros aDrainTime)
 {
   aInstance.BeginLeave();
+  LOG(INFO) << "daemon: not ready, peers are told; serving for "
+            << std::chrono::duration_cast<Millis>(aDrainTime).count() << " ms more";
   std::this_thread::sleep_for(aDrainTime);
+  LOG(INFO) << "daemon: finishing " << aInstance.QueriesInFlight() << " queries in flight";
   while (!aInstance.IsIdle()) {
     std::this_thread::sleep_for(kIdlePollTime);
   }
+  LOG(INFO) << "daemon: nothing in flight, closing";
   std::this_thread::sleep_for(kFlushTime);
 }
 
-/// Stops the log levels that are less severe than aLevel.
-void
-SetLogLevel(const std::string& aLevel)
-{
-  constexpr std::pair<const char*, el::Level> kLevels[] = { { "debug", el::Level::Debug },
-                                                            { "info", el::Level::Info },
-                                                            { "warning", el::Level::Warning },
-                                                            { "error", el::Level::Error } };
-  el::Configurations configurations;
-  for (const auto& [name, level] : kLevels) {
-    if (name == aLevel) {
-      break;
-    }
-    configurations.set(level, el::ConfigurationType::Enabled, "false");
-  }
-  el::Loggers::reconfigureAllLoggers(configurations);
-}
-
 int
 Fail(const LastReason& aReason)
 {
@@ -110,7 +95,9 @@
                                DataCentre(aSettings.dataCentre_),
                                CurrentIncarnation() };
   adapters::PrometheusMetrics metrics;
-  auto instance = Instance::Create(self, { *timers, random, **transport, targets, store, instances, &metrics }, reason);
+  daemon::EasyloggingSink logs;
+  auto instance =
+    Instance::Create(self, { *timers, random, **transport, targets, store, instances, &metrics, &logs }, reason);
   if (!instance) {
     return Fail(reason);
   }
@@ -131,7 +118,7 @@
   }
   LOG(INFO) << "daemon: instance " << aSettings.instance_ << " serves callers on " << aSettings.callerAddress_;
   WaitForStop(signals);
-  LOG(INFO) << "daemon: stop requested, finishing requests in flight";
+  LOG(INFO) << "daemon: stop requested";
   Drain(**instance, aSettings.drainTime_);
   LOG(INFO) << "daemon: stopped";
   // Adapters call back from their own threads until they are destroyed, so the process ends without unwinding them.
@@ -143,7 +130,6 @@
 int
 main(int aArgc, char** aArgv)
 {
-  el::Loggers::reconfigureAllLoggers(el::ConfigurationType::ToFile, "false");
   std::vector<daemon::SettingFault> faults;
   auto line = daemon::ReadCommandLine({ aArgv + 1, aArgv + aArgc }, daemon::ProcessVariables(), faults);
   if (!line) {
@@ -165,6 +151,6 @@
     case daemon::Task::Run:
       break;
   }
-  SetLogLevel(line->settings_.logLevel_);
+  daemon::ConfigureLogs(line->settings_.logLevel_);
   return Run(line->settings_);
 }
--- a/src/fakes/fake_cluster.cpp
+++ b/src/fakes/fake_cluster.cpp
@@ -133,8 +133,9 @@
   lastIncarnation_ += kIncarnationStep;
   const InstanceIdentity self{ listed.id_, listed.address_, listed.dataCentre_, Incarnation(lastIncarnation_) };
   LastReason reason;
-  const Environment environment{ *running->timers_,  random_,          *running->transport_,
-                                 *running->targets_, *running->store_, list_ };
+  const Environment environment{
+    *running->timers_, random_, *running->transport_, *running->targets_, *running->store_, list_, nullptr, logs_
+  };
   auto instance = Instance::Create(self, environment, reason, shape_.tuning_);
   if (!instance) {
     throw std::runtime_error(reason.Text());
--- a/src/fakes/fake_cluster.h
+++ b/src/fakes/fake_cluster.h
@@ -92,6 +92,8 @@
   FakeStore store_;
   FakeTargets targets_;
   FakeInstanceList list_;
+  /// Receives the log lines of the instances launched from now on; null for none.
+  LogSink* logs_ = nullptr;
 
 private:
   struct Running
--- a/src/process/crash_guard.cpp
+++ b/src/process/crash_guard.cpp
@@ -16,6 +16,9 @@
 constexpr Micros kGossipSlack = Seconds(2);
 /// Fingerprints kept in each shard, about 16,000 in all; one takes about 100 bytes.
 constexpr size_t kMaxEntries = 1000;
+/// Lines of each kind in a period; each crash costs a target, so that there are few unless a target is lost.
+constexpr unsigned kLogLines = 10;
+constexpr size_t kStates = 3;
 
 /// Order in which the states of one crash follow each other: the canary of a suspect clears or blocks it.
 int
@@ -26,9 +29,10 @@
 
 } // namespace
 
-CrashGuard::CrashGuard(TimerService& aTimers, Spread aSpread)
+CrashGuard::CrashGuard(TimerService& aTimers, Spread aSpread, LogSink* aLogs)
   : timers_(aTimers)
   , spread_(std::move(aSpread))
+  , log_(aTimers, aLogs, "crash guard", kStates, kLogLines)
 {
 }
 
@@ -102,6 +106,12 @@
     }
   }
   spread_(update);
+  log_.Write(LogLevel::Warning, static_cast<size_t>(RankOf(update.state_)), [&] {
+    const bool isBlocked = update.state_ == CrashState::Blocked;
+    return "query " + std::to_string(aFingerprint.Value()) + " of request " + ToString(aRun) +
+           (isBlocked ? " blocked as crash suspect: its connection to a target was lost"
+                      : " is a crash suspect: a connection that it shared was lost");
+  });
 }
 
 void
--- a/src/process/crash_guard.h
+++ b/src/process/crash_guard.h
@@ -2,6 +2,7 @@
 #define IBISROCK_PROCESS_CRASH_GUARD_H
 
 #include "base/timer_service.h"
+#include "process/component_log.h"
 #include "wire/messages.h"
 
 #include <array>
@@ -27,7 +28,7 @@
   using Spread = std::function<void(const wire::Update&)>;
 
   /// aSpread passes on what was seen first hand; it is called without a lock held.
-  CrashGuard(TimerService& aTimers, Spread aSpread);
+  CrashGuard(TimerService& aTimers, Spread aSpread, LogSink* aLogs = nullptr);
 
   /// Decides on a query before its first attempt. After RunCanaryFirst, further calls for the same fingerprint give
   /// Refuse until the canary has ended, at most for a second, so that resends do not each crash a target.
@@ -68,6 +69,7 @@
 
   TimerService& timers_;
   const Spread spread_;
+  ComponentLog log_;
   std::array<Shard, kShardCount> shards_;
 };
 
--- a/src/process/environment.h
+++ b/src/process/environment.h
@@ -2,6 +2,7 @@
 #define IBISROCK_PROCESS_ENVIRONMENT_H
 
 #include "base/instance_list.h"
+#include "base/log_sink.h"
 #include "base/object_store.h"
 #include "base/peer_transport.h"
 #include "base/random.h"
@@ -25,6 +26,8 @@
   InstanceList& instances_;
   /// Receives what the instance counts; none when it is null.
   MetricsSink* metrics_ = nullptr;
+  /// Receives the log lines; none when it is null.
+  LogSink* logs_ = nullptr;
 };
 
 /// Who an instance is. Fixed for the life of the process.
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Lines on versions taken in force in a period of the log. 11,000 changes a day are about one in 8 s.
+constexpr unsigned kLogLines = 10;
+
 /// Joins lambdas into one visitor for std::visit.
 template<typename... Handlers>
 struct Overloaded : Handlers...
@@ -52,8 +55,14 @@
           [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , config_(sync_)
   , catalogues_(sync_, config_)
-  , targetStates_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
-  , crashGuard_(environment_.timers_, [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); })
+  , targetStates_(
+      environment_.timers_,
+      [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); },
+      environment_.logs_)
+  , crashGuard_(
+      environment_.timers_,
+      [this](const wire::Update& aUpdate) { gossip_.Spread(aUpdate); },
+      environment_.logs_)
   , targetPoller_(self_, environment_, membership_, config_, targetStates_)
   , dispatchers_(
       environment_,
@@ -65,7 +74,15 @@
             dispatchers_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , coordinator_(self_, environment_, config_, router_, aTuning)
+  , answerLog_(environment_.timers_, environment_.logs_)
+  , log_(environment_.timers_, environment_.logs_, "instance", 1, kLogLines)
 {
+  config_.Subscribe([this](const Configuration& aConfiguration) {
+    log_.Write(LogLevel::Info, 0, [&aConfiguration] {
+      return "configuration version " + std::to_string(aConfiguration.version_.Value()) + " is in force with " +
+             std::to_string(aConfiguration.services_.size()) + " services";
+    });
+  });
   gossip_.Subscribe([this](const wire::Update& aUpdate) {
     const auto* target = std::get_if<wire::TargetUpdate>(&aUpdate);
     return target != nullptr && targetStates_.OnUpdate(*target);
@@ -94,7 +111,11 @@
 void
 Instance::Submit(Query aQuery, AnswerCallback aCallback)
 {
-  coordinator_.Submit(std::move(aQuery), std::move(aCallback));
+  const ServiceName service = aQuery.service_;
+  coordinator_.Submit(std::move(aQuery), [this, service, callback = std::move(aCallback)](Answer aAnswer) {
+    answerLog_.OnAnswer(service, aAnswer);
+    callback(std::move(aAnswer));
+  });
 }
 
 bool
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -3,6 +3,7 @@
 
 #include "base/last_reason.h"
 #include "connection/peer_clock.h"
+#include "process/answer_log.h"
 #include "process/attempt_router.h"
 #include "process/catalogue_keeper.h"
 #include "process/config_keeper.h"
@@ -83,6 +84,8 @@
   DispatcherTable dispatchers_;
   AttemptRouter router_;
   Coordinator coordinator_;
+  AnswerLog answerLog_;
+  ComponentLog log_;
   std::atomic<bool> leaving_{ false };
 };
 
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -10,6 +10,9 @@
 constexpr Micros kSuspectTime = Seconds(3);
 /// Partitions between regions last minutes; a dead member is probed for longer than that.
 constexpr Micros kForgetTime = Seconds(3600);
+/// A line for each instance of a lost rack; the loss of a data centre is cut short.
+constexpr unsigned kLogLines = 40;
+constexpr size_t kStates = static_cast<size_t>(MemberState::Dead) + 1;
 
 wire::MemberUpdate
 ToUpdate(const Member& aMember)
@@ -28,6 +31,7 @@
 Membership::Membership(InstanceIdentity aSelf, Environment aEnvironment)
   : self_(std::move(aSelf))
   , environment_(aEnvironment)
+  , log_(aEnvironment.timers_, aEnvironment.logs_, "membership", kStates, kLogLines)
   , incarnation_(self_.incarnation_)
 {
 }
@@ -46,6 +50,25 @@
   }
 }
 
+/// Logs the members that are dead, leaving or back. New members and passing suspicions are no lines.
+void
+Membership::Log(const std::vector<Change>& aChanges)
+{
+  for (const Change& change : aChanges) {
+    const Member& member = change.member_;
+    const std::optional<MemberState>& before = change.before_;
+    const bool isBack = before && !IsUsable(*before) && IsUsable(member.state_);
+    if (!before || (!isBack && IsUsable(member.state_))) {
+      continue;
+    }
+    const bool isDead = member.state_ == MemberState::Dead;
+    const char* state = isBack ? " is back" : isDead ? " is dead" : " is leaving";
+    log_.Write(isDead ? LogLevel::Warning : LogLevel::Info, static_cast<size_t>(member.state_), [&member, state] {
+      return "instance " + member.id_.Value() + " at " + member.address_.Value() + state;
+    });
+  }
+}
+
 void
 Membership::Leave()
 {
@@ -69,31 +92,37 @@
 Membership::Merge(const wire::MemberUpdate& aUpdate)
 {
   std::optional<wire::MemberUpdate> refutation;
+  std::vector<Change> changes;
+  bool isNews = false;
   {
     std::lock_guard lock(mutex_);
     if (aUpdate.id_ != self_.id_) {
-      return MergeLocked(aUpdate);
+      isNews = MergeLocked(aUpdate, changes);
+    } else {
+      refutation = RefuteLocked(aUpdate);
     }
-    refutation = RefuteLocked(aUpdate);
   }
   if (refutation) {
     Tell(*refutation);
   }
-  return false;
+  Log(changes);
+  return isNews;
 }
 
 /// A state overrides another by a higher incarnation, or within one by a later state.
 bool
-Membership::MergeLocked(const wire::MemberUpdate& aUpdate)
+Membership::MergeLocked(const wire::MemberUpdate& aUpdate, std::vector<Change>& aChanges)
 {
   auto [found, isNew] = records_.try_emplace(aUpdate.id_);
   Member& known = found->second.member_;
   if (!isNew && std::pair(aUpdate.incarnation_, aUpdate.state_) <= std::pair(known.incarnation_, known.state_)) {
     return false;
   }
+  const auto before = isNew ? std::nullopt : std::optional(known.state_);
   known = { aUpdate.id_, aUpdate.address_, aUpdate.dataCentre_, aUpdate.incarnation_, aUpdate.state_ };
   found->second.since_ = environment_.timers_.Now();
   viewIsOld_ = true;
+  aChanges.push_back({ known, before });
   return true;
 }
 
@@ -120,6 +149,7 @@
 Membership::Suspect(const InstanceId& aId, Incarnation aIncarnation)
 {
   wire::MemberUpdate update;
+  std::vector<Change> changes;
   {
     std::lock_guard lock(mutex_);
     auto found = records_.find(aId);
@@ -128,17 +158,19 @@
     }
     update = ToUpdate(found->second.member_);
     update.state_ = MemberState::Suspect;
-    if (!MergeLocked(update)) {
+    if (!MergeLocked(update, changes)) {
       return;
     }
   }
   Tell(update);
+  Log(changes);
 }
 
 void
 Membership::Expire()
 {
   std::vector<wire::MemberUpdate> dead;
+  std::vector<Change> changes;
   {
     std::lock_guard lock(mutex_);
     const TimePoint now = environment_.timers_.Now();
@@ -152,12 +184,13 @@
       }
     }
     for (const wire::MemberUpdate& update : dead) {
-      MergeLocked(update);
+      MergeLocked(update, changes);
     }
   }
   for (const wire::MemberUpdate& update : dead) {
     Tell(update);
   }
+  Log(changes);
 }
 
 void
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_PROCESS_MEMBERSHIP_H
 #define IBISROCK_PROCESS_MEMBERSHIP_H
 
+#include "process/component_log.h"
 #include "process/environment.h"
 #include "wire/messages.h"
 
@@ -75,15 +76,24 @@
     TimePoint since_;
   };
 
-  bool MergeLocked(const wire::MemberUpdate& aUpdate);
+  /// One change of a member's state; the state before is missing for a new member.
+  struct Change
+  {
+    Member member_;
+    std::optional<MemberState> before_;
+  };
+
+  bool MergeLocked(const wire::MemberUpdate& aUpdate, std::vector<Change>& aChanges);
   std::optional<wire::MemberUpdate> RefuteLocked(const wire::MemberUpdate& aUpdate);
   void RebuildLocked() const;
   wire::MemberUpdate SelfLocked() const;
   void Tell(const wire::MemberUpdate& aUpdate) const;
+  void Log(const std::vector<Change>& aChanges);
 
   const InstanceIdentity self_;
   Environment environment_;
   Announce announce_;
+  ComponentLog log_;
 
   mutable std::mutex mutex_;
   std::map<InstanceId, Record> records_;
--- a/src/process/object_load.cpp
+++ b/src/process/object_load.cpp
@@ -20,6 +20,10 @@
 /// about 1 instance in 20 (e^-3), and more when messages are lost.
 constexpr Micros kSpreadDelays[] = { Micros(0), Millis(100), Millis(300) };
 constexpr uint32_t kPauseSpreadMicros = 500'000;
+/// Kinds of log lines.
+constexpr size_t kLowerLines = 0;
+constexpr size_t kOtherLines = 1;
+constexpr size_t kMalformedLines = 2;
 
 } // namespace
 
@@ -53,10 +57,10 @@
   LastReason reason;
   const auto content = object.handler_.inspect_(aText, reason);
   if (!content || content->version_ == 0) {
-    counters_.malformed_++;
+    RefuseMalformed(aKey, content ? "it has no version" : reason.Text(), aActions);
     return;
   }
-  if (!IsNewer(object, *content)) {
+  if (!IsNewer(aKey, object, *content, aActions)) {
     return;
   }
   Load load{ 0, content->version_, content->hash_, aText, content->parts_, {}, aHolder, 0 };
@@ -65,7 +69,9 @@
       return;
     }
     if (object.load_->version_ == load.version_ && !object.load_->text_.empty()) {
-      counters_.otherContents_ += object.load_->hash_ != load.hash_ ? 1 : 0;
+      if (object.load_->hash_ != load.hash_) {
+        RefuseOther(aKey, load.version_, load.hash_, aActions);
+      }
       return;
     }
     load.fetched_ = std::move(object.load_->fetched_);
@@ -76,27 +82,53 @@
 
 /// Refuses and counts lower versions, and another content of the version that is held.
 bool
-ObjectSync::IsNewer(const Object& aObject, const ObjectContent& aContent)
+ObjectSync::IsNewer(const std::string& aKey, const Object& aObject, const ObjectContent& aContent, Actions& aActions)
 {
   if (aContent.version_ > aObject.version_) {
     return true;
   }
   if (aContent.version_ < aObject.version_) {
     counters_.lowerVersions_++;
+    aActions.emplace_back([this, aKey, held = aObject.version_, seen = aContent.version_] {
+      log_.Write(LogLevel::Info, kLowerLines, [&] {
+        return aKey + " version " + std::to_string(seen) + " ignored: version " + std::to_string(held) + " is held";
+      });
+    });
   } else if (aContent.hash_ != aObject.hash_) {
-    counters_.otherContents_++;
+    RefuseOther(aKey, aContent.version_, aContent.hash_, aActions);
   }
   return false;
 }
 
+/// Counts and logs a version that is known here with another hash.
+void
+ObjectSync::RefuseOther(const std::string& aKey, uint64_t aVersion, const std::string& aHash, Actions& aActions)
+{
+  counters_.otherContents_++;
+  aActions.emplace_back([this, aKey, aVersion, aHash] {
+    log_.Write(LogLevel::Error, kOtherLines, [&] {
+      return aKey + " version " + std::to_string(aVersion) + " refused: its hash " + aHash + " is not the one held";
+    });
+  });
+}
+
+void
+ObjectSync::RefuseMalformed(const std::string& aKey, const std::string& aReason, Actions& aActions)
+{
+  counters_.malformed_++;
+  aActions.emplace_back([this, aKey, aReason] {
+    log_.Write(LogLevel::Error, kMalformedLines, [&] { return aKey + " refused: " + aReason; });
+  });
+}
+
 /// Takes a part that a load waits for and returns the loads that it brings forward. The hash in the key proves the
 /// content, whoever sent it.
 std::set<std::string>
-ObjectSync::TakePart(const std::string& aKey, const std::string& aText)
+ObjectSync::TakePart(const std::string& aKey, const std::string& aText, Actions& aActions)
 {
   std::set<std::string> advanced;
   if (aKey != PartKey(ContentHash(aText))) {
-    counters_.malformed_++;
+    RefuseMalformed(aKey, "its content has another hash", aActions);
     return advanced;
   }
   for (auto& [key, object] : objects_) {
@@ -194,7 +226,7 @@
 void
 ObjectSync::OnStoredPart(const std::string& aKey, const std::string& aText, Actions& aActions)
 {
-  for (const std::string& key : TakePart(aKey, aText)) {
+  for (const std::string& key : TakePart(aKey, aText, aActions)) {
     Object& object = objects_.at(key);
     if (MissingKeys(key, *object.load_).empty()) {
       TakeInForce(key, object, aActions);
--- a/src/process/object_sync.cpp
+++ b/src/process/object_sync.cpp
@@ -36,6 +36,7 @@
   , membership_(aMembership)
   , gossip_(aGossip)
   , send_(std::move(aSend))
+  , log_(aEnvironment.timers_, aEnvironment.logs_, "config", 3, 1)
 {
 }
 
@@ -293,7 +294,9 @@
         continue;
       }
       const Object& ours = found->second;
-      counters_.otherContents_ += ours.version_ == theirs.version_ && ours.hash_ != theirs.hash_ ? 1 : 0;
+      if (ours.version_ == theirs.version_ && ours.hash_ != theirs.hash_) {
+        RefuseOther(theirs.object_, theirs.version_, theirs.hash_, aActions);
+      }
       Want(theirs.object_, theirs.version_, aFrom, aActions);
       std::erase_if(answer.objects_, [&theirs](const wire::ObjectVersion& aOurs) {
         return aOurs.object_ == theirs.object_ && aOurs.version_ <= theirs.version_;
@@ -342,7 +345,7 @@
       if (objects_.contains(value.key_)) {
         TakeText(value.key_, value.value_, aFrom, aActions);
       } else {
-        advanced.merge(std::set<std::string>(TakePart(value.key_, value.value_)));
+        advanced.merge(std::set<std::string>(TakePart(value.key_, value.value_, aActions)));
       }
     }
     // The peer that sent some of the parts is asked for the rest at once.
--- a/src/process/object_sync.h
+++ b/src/process/object_sync.h
@@ -2,6 +2,7 @@
 #define IBISROCK_PROCESS_OBJECT_SYNC_H
 
 #include "base/last_reason.h"
+#include "process/component_log.h"
 #include "process/environment.h"
 #include "process/gossip.h"
 #include "process/membership.h"
@@ -113,8 +114,10 @@
 
   void Want(const std::string& aKey, uint64_t aVersion, const PeerAddress& aHolder, Actions& aActions);
   void TakeText(const std::string& aKey, const std::string& aText, const PeerAddress& aHolder, Actions& aActions);
-  std::set<std::string> TakePart(const std::string& aKey, const std::string& aText);
-  bool IsNewer(const Object& aObject, const ObjectContent& aContent);
+  std::set<std::string> TakePart(const std::string& aKey, const std::string& aText, Actions& aActions);
+  bool IsNewer(const std::string& aKey, const Object& aObject, const ObjectContent& aContent, Actions& aActions);
+  void RefuseOther(const std::string& aKey, uint64_t aVersion, const std::string& aHash, Actions& aActions);
+  void RefuseMalformed(const std::string& aKey, const std::string& aReason, Actions& aActions);
   void Continue(const std::string& aKey, Object& aObject, Actions& aActions);
   void OnFetchTimeout(const std::string& aKey, uint64_t aLoadId);
   void FetchFromStore(const std::string& aObject, const std::vector<std::string>& aMissing, Actions& aActions);
@@ -131,6 +134,7 @@
   const Membership& membership_;
   Gossip& gossip_;
   SendToPeer send_;
+  ComponentLog log_;
 
   mutable std::mutex mutex_;
   std::map<std::string, Object> objects_;
--- a/src/process/target_states.cpp
+++ b/src/process/target_states.cpp
@@ -10,6 +10,10 @@
 constexpr Micros kRampTime = Seconds(10);
 /// Smallest share of a ramping target; with none it would not be seen to work.
 constexpr double kMinShare = 0.05;
+/// Lines of each kind in a period: a rolling restart is seen target by target, the loss of a data centre is cut short.
+constexpr unsigned kLogLines = 40;
+constexpr size_t kLeavingLines = 0;
+constexpr size_t kBackLines = 1;
 
 /// Order in which the states of one boot follow each other.
 int
@@ -40,12 +44,26 @@
 
 } // namespace
 
-TargetStates::TargetStates(TimerService& aTimers, Spread aSpread)
+TargetStates::TargetStates(TimerService& aTimers, Spread aSpread, LogSink* aLogs)
   : timers_(aTimers)
   , spread_(std::move(aSpread))
+  , log_(aTimers, aLogs, "targets", 2, kLogLines)
 {
 }
 
+/// Logs a target that has begun to leave or is back.
+void
+TargetStates::Log(const wire::TargetUpdate& aSeen, TargetState aBefore, TargetState aAfter)
+{
+  const bool isLeaving = aAfter == TargetState::Draining;
+  if (isLeaving == (aBefore == TargetState::Draining)) {
+    return;
+  }
+  log_.Write(LogLevel::Info, isLeaving ? kLeavingLines : kBackLines, [&] {
+    return "target " + aSeen.target_.Value() + (isLeaving ? " is leaving" : " is back, boot " + aSeen.boot_.Value());
+  });
+}
+
 /// Returns true when something changed. Needs the shard's lock.
 bool
 TargetStates::Learn(Entry& aEntry, const wire::TargetUpdate& aSeen, bool aFirstHand) const
@@ -87,16 +105,21 @@
 TargetStates::OnReply(const TargetName& aTarget, const TargetReply& aReply)
 {
   wire::TargetUpdate update = ToUpdate(aTarget, aReply);
+  TargetState before{};
+  TargetState after{};
   {
     Shard& shard = ShardOf(aTarget);
     std::lock_guard lock(shard.mutex_);
     Entry& entry = shard.entries_[aTarget];
+    before = entry.state_;
     if (!Learn(entry, update, true)) {
       return;
     }
     update.boot_ = entry.boots_.Current();
+    after = entry.state_;
   }
   spread_(update);
+  Log(update, before, after);
 }
 
 void
@@ -117,9 +140,19 @@
 bool
 TargetStates::OnUpdate(const wire::TargetUpdate& aUpdate)
 {
-  Shard& shard = ShardOf(aUpdate.target_);
-  std::lock_guard lock(shard.mutex_);
-  return Learn(shard.entries_[aUpdate.target_], aUpdate, false);
+  TargetState before{};
+  TargetState after{};
+  bool isNews = false;
+  {
+    Shard& shard = ShardOf(aUpdate.target_);
+    std::lock_guard lock(shard.mutex_);
+    Entry& entry = shard.entries_[aUpdate.target_];
+    before = entry.state_;
+    isNews = Learn(entry, aUpdate, false);
+    after = entry.state_;
+  }
+  Log(aUpdate, before, after);
+  return isNews;
 }
 
 bool
--- a/src/process/target_states.h
+++ b/src/process/target_states.h
@@ -3,6 +3,7 @@
 
 #include "base/timer_service.h"
 #include "connection/boot_history.h"
+#include "process/component_log.h"
 #include "wire/messages.h"
 
 #include <array>
@@ -20,7 +21,7 @@
   using Spread = std::function<void(const wire::Update&)>;
 
   /// aSpread passes on what was seen first hand; it is called without a lock held.
-  TargetStates(TimerService& aTimers, Spread aSpread);
+  TargetStates(TimerService& aTimers, Spread aSpread, LogSink* aLogs = nullptr);
 
   /// Learns from a reply or a refusal of the target.
   void OnReply(const TargetName& aTarget, const TargetReply& aReply);
@@ -62,8 +63,11 @@
   Shard& ShardOf(const TargetName& aTarget) { return shards_[std::hash<TargetName>()(aTarget) % kShardCount]; }
   bool Learn(Entry& aEntry, const wire::TargetUpdate& aSeen, bool aFirstHand) const;
 
+  void Log(const wire::TargetUpdate& aSeen, TargetState aBefore, TargetState aAfter);
+
   TimerService& timers_;
   const Spread spread_;
+  ComponentLog log_;
   std::array<Shard, kShardCount> shards_;
 };
 
