Export the run counters on /metrics

Cause: hedges, retries, cancelled attempts and restarts were counted for each service, but shown nowhere.

Change: ibisrock_run_events_total has one series for each service and counter. The values are raised to the totals when the text is made.

Measured: RunMetrics.ShowTheTotalsOfEachService reads twice and finds the total once.

Conclusion: the extra load can be watched from outside.

--- a/src/adapters/prometheus_metrics.cpp
+++ b/src/adapters/prometheus_metrics.cpp
@@ -1,6 +1,7 @@
 #include "adapters/prometheus_metrics.h"
 
 #include <algorithm>
+#include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -66,6 +67,7 @@
   std::string Text(const Instance& aInstance)
   {
     LastReason reason;
+    ExportRuns(aInstance.Services());
     configVersion_.Set(static_cast<double>(aInstance.ConfigInForce().Value()));
     inFlight_.Set(static_cast<double>(aInstance.QueriesInFlight()));
     ready_.Set(aInstance.IsReady(reason) ? 1 : 0);
@@ -73,7 +75,21 @@
   }
 
 private:
+  /// Raises each counter to the run's total. Texts are made one after another, so that no increment counts twice.
+  void ExportRuns(const ServiceTable& aServices)
+  {
+    std::lock_guard lock(runsMutex_);
+    for (const auto& [service, counters] : aServices.Counters()) {
+      for (const RunCounterField& field : kRunCounterFields) {
+        prometheus::Counter& counter = runs_.Add({ { "service", service.Value() }, { "kind", field.name_ } });
+        const auto total = static_cast<double>((counters->*field.value_).load());
+        counter.Increment(std::max(0.0, total - counter.Value()));
+      }
+    }
+  }
+
   prometheus::Registry registry_;
+  std::mutex runsMutex_;
   Histograms& latency_ = prometheus::BuildHistogram()
                            .Name("ibisrock_query_seconds")
                            .Help("Time from the submission of a query to its answer or refusal")
@@ -84,6 +100,9 @@
   Counters& attempts_ = AddCounters(registry_, "ibisrock_attempts_total", "Attempts started");
   Counters& extraAttempts_ =
     AddCounters(registry_, "ibisrock_extra_attempts_total", "Attempts beyond one for each shard");
+  Counters& runs_ = AddCounters(registry_,
+                                "ibisrock_run_events_total",
+                                "Attempts, hedges, retries, cancelled attempts and restarts of query runs");
   prometheus::Gauge& configVersion_ =
     AddGauge(registry_, "ibisrock_config_version", "Version of the configuration in force, 0 for none");
   prometheus::Gauge& inFlight_ = AddGauge(registry_, "ibisrock_queries_in_flight", "Queries not answered yet");
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -74,6 +74,7 @@
             dispatchers_,
             [this](const PeerAddress& aPeer, wire::Body aBody) { return SendToPeerAddress(aPeer, std::move(aBody)); })
   , coordinator_(self_, environment_, config_, router_, aTuning)
+  , services_(coordinator_.Services())
   , answerLog_(environment_.timers_, environment_.logs_)
   , log_(environment_.timers_, environment_.logs_, "instance", 1, kLogLines)
 {
--- a/src/process/instance.h
+++ b/src/process/instance.h
@@ -55,7 +55,8 @@
   /// Version of the configuration in force; none before the first.
   ConfigVersion ConfigInForce() const;
   /// What the runs of each service share, with their counters.
-  ServiceTable& Services() { return coordinator_.Services(); }
+  ServiceTable& Services() { return services_; }
+  const ServiceTable& Services() const { return services_; }
   /// The configuration in force; null before the first one.
   std::shared_ptr<const Configuration> CurrentConfiguration() const { return config_.Current(); }
   const CatalogueKeeper& Catalogues() const { return catalogues_; }
@@ -84,6 +85,7 @@
   DispatcherTable dispatchers_;
   AttemptRouter router_;
   Coordinator coordinator_;
+  ServiceTable& services_;
   AnswerLog answerLog_;
   ComponentLog log_;
   std::atomic<bool> leaving_{ false };
--- a/src/process/service_table.cpp
+++ b/src/process/service_table.cpp
@@ -33,4 +33,17 @@
   return *state;
 }
 
+std::map<ServiceName, const RunCounters*>
+ServiceTable::Counters() const
+{
+  std::map<ServiceName, const RunCounters*> counters;
+  for (const Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex_);
+    for (const auto& [service, state] : shard.states_) {
+      counters[service] = &state->counters_;
+    }
+  }
+  return counters;
+}
+
 } // namespace ibisrock
--- a/src/process/service_table.h
+++ b/src/process/service_table.h
@@ -7,6 +7,7 @@
 #include "request/run_counters.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -45,12 +46,14 @@
 
   /// The state of a service, made at the first use and kept as long as the table.
   ServiceState& Get(const ServiceName& aService);
+  /// The counters of every service that was queried here. They live as long as the table.
+  std::map<ServiceName, const RunCounters*> Counters() const;
   const RunTuning& Tuning() const { return tuning_; }
 
 private:
   struct Shard
   {
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::unordered_map<ServiceName, std::unique_ptr<ServiceState>> states_;
   };
   static constexpr size_t kShardCount = 16;
--- a/src/request/run_counters.h
+++ b/src/request/run_counters.h
@@ -17,6 +17,19 @@
   std::atomic<uint64_t> restarts_{ 0 };
 };
 
+/// Name and place of each counter, for those that show all of them.
+struct RunCounterField
+{
+  const char* name_;
+  std::atomic<uint64_t> RunCounters::*value_;
+};
+
+inline constexpr RunCounterField kRunCounterFields[] = { { "attempts", &RunCounters::attempts_ },
+                                                         { "hedges", &RunCounters::hedges_ },
+                                                         { "retries", &RunCounters::retries_ },
+                                                         { "cancelled", &RunCounters::cancelled_ },
+                                                         { "restarts", &RunCounters::restarts_ } };
+
 } // namespace ibisrock
 
 #endif
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -75,5 +75,21 @@
     MetricsCase{ "Version", Reason::None, 1, 0, 1, "ibisrock_config_version 1" }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+// Guards against run counters that are missing, or that grow each time they are read.
+TEST(RunMetrics, ShowTheTotalsOfEachService)
+{
+  fakes::FakeCluster cluster(fakes::ClusterShape{}, 1);
+  cluster.Start();
+  cluster.Ask(0, fakes::FakeCluster::MakeQuery("a"));
+  PrometheusMetrics metrics;
+  metrics.Text(cluster.At(0));
+  const auto attempts = cluster.At(0).Services().Get(ServiceName(fakes::kClusterService)).counters_.attempts_.load();
+  EXPECT_GE(attempts, 20U);
+  const std::string line =
+    "ibisrock_run_events_total{kind=\"attempts\",service=\"dockdesk\"} " + std::to_string(attempts) + "\n";
+  const std::string text = metrics.Text(cluster.At(0));
+  EXPECT_NE(text.find(line), std::string::npos) << text;
+}
+
 } // namespace
 } // namespace ibisrock::adapters
