Show refused objects apart from the configuration

Cause: the refusal counters cover the configuration and the catalogues, but the state dump showed them as part of the configuration. No test saw a replica with work.

Conclusion: the dump names what the counters count.

--- a/tests/state_dump_test.cpp
+++ b/tests/state_dump_test.cpp
@@ -35,7 +35,7 @@
                          StateDump,
                          testing::Values(StateCase{ "Ready", "/ready", true },
                                          StateCase{ "Config", "/config/version", 1 },
-                                         StateCase{ "Refused", "/config/refused/other_content", 0 },
+                                         StateCase{ "Refused", "/refused/other_content", 0 },
                                          StateCase{ "Catalogue", "/catalogue_versions/dockdesk", 0 },
                                          StateCase{ "Self", "/members/0/state", "alive" },
                                          StateCase{ "DeadMember", "/members/6/state", "dead" },
@@ -64,5 +64,30 @@
   }
 }
 
+// Guards against queue lengths that miss attempts in flight.
+TEST(ReplicaDump, ShowsEachAttemptInFlight)
+{
+  fakes::ClusterShape shape;
+  shape.tuning_.hedges_ = false;
+  FakeCluster cluster(shape, 1);
+  cluster.Start();
+  for (unsigned target = 0; target < 2 * shape.shards_; target++) {
+    const TargetName name = FakeCluster::TargetOf(target / 2, target % 2);
+    auto behaviour = cluster.targets_.Get(name);
+    behaviour.serviceTime_ = Millis(100);
+    cluster.targets_.Set(name, behaviour);
+  }
+  cluster.Submit(0, FakeCluster::MakeQuery("a"), [](const Answer&) {});
+  cluster.timers_.Advance(Millis(20));
+  unsigned inFlight = 0;
+  for (size_t index = 0; index < cluster.Size(); index++) {
+    const json state = json::parse(cluster.At(index).DumpState());
+    for (const auto& replica : state.at("replicas")) {
+      inFlight += replica.at("running").get<unsigned>() + replica.at("waiting").get<unsigned>();
+    }
+  }
+  EXPECT_EQ(inFlight, shape.shards_);
+}
+
 } // namespace
 } // namespace ibisrock
