--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_PROCESS_MEMBERSHIP_H
 #define IBISROCK_PROCESS_MEMBERSHIP_H
 
+#include "process/component_log.h"
 #include "process/environment.h"
 #include "wire/messages.h"
 
@@ -65,6 +66,8 @@
   /// This instance as peers should see it.
   wire::MemberUpdate Self() const;
   std::optional<Member> Find(const InstanceId& aId) const;
+  /// Every other instance that is known, sorted by id, also those that left or are dead.
+  std::vector<Member> KnownMembers() const;
   /// Members that are known to be dead and may be back.
   std::vector<Member> DeadMembers() const;
 
@@ -75,15 +78,24 @@
     TimePoint since_;
   };
 
-  bool MergeLocked(const wire::MemberUpdate& aUpdate);
+  /// One change of a member's state; the state before is missing for a new member.
+  struct Change
+  {
+    Member member_;
+    std::optional<MemberState> before_;
+  };
+
+  bool MergeLocked(const wire::MemberUpdate& aUpdate, std::vector<Change>& aChanges);
   std::optional<wire::MemberUpdate> RefuteLocked(const wire::MemberUpdate& aUpdate);
   void RebuildLocked() const;
   wire::MemberUpdate SelfLocked() const;
   void Tell(const wire::MemberUpdate& aUpdate) const;
+  void Log(const std::vector<Change>& aChanges);
 
   const InstanceIdentity self_;
   Environment environment_;
   Announce announce_;
+  ComponentLog log_;
 
   mutable std::mutex mutex_;
   std::map<InstanceId, Record> records_;
