--- a/src/adapters/http_instance_list.h
+++ b/src/adapters/http_instance_list.h
@@ -10,6 +10,7 @@
 namespace ibisrock::adapters {
 
 /// The platform's instance list over HTTP: GET /instances gives a JSON array of id, address, data_centre and leaving.
+/// An entry may also have http_address, the address for callers, which only the operators' tool reads.
 class HttpInstanceList final : public InstanceList
 {
 public:
