Show the status of all instances in the demo

Cause: the demo applied a sheet but did not show that it was in force, and the text of an accepted apply said so twice. Change: the demo's instance list names http_address and the demo runs ibisrock status. apply and its dry run name the outcome once.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds everything, runs the whole path on loopback with stand-ins for the platform and for 40 targets, applies a sheet
-# and shows one whole answer and, with both replicas of one shard stopped, one partial answer.
+# Builds everything, runs the whole path on loopback with stand-ins for the platform and for 40 targets, applies a sheet,
+# shows its version on every instance, one whole answer and, with both replicas of one shard stopped, one partial answer.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -46,7 +46,8 @@
 data_centres=(lhr-a lhr-b isb-a isb-b)
 instances=""
 for i in 0 1 2 3 4 5 6; do
-  instances+="${instances:+,}{\"id\":\"entry-$i\",\"address\":\"127.0.0.1:$((17020 + i))\",\"data_centre\":\"${data_centres[i % 4]}\",\"leaving\":false}"
+  instances+="${instances:+,}{\"id\":\"entry-$i\",\"address\":\"127.0.0.1:$((17020 + i))\",\"data_centre\":\"${data_centres[i % 4]}\""
+  instances+=",\"leaving\":false,\"http_address\":\"127.0.0.1:$((17010 + i))\"}"
 done
 curl -fsS -X PUT --data "[$instances]" http://127.0.0.1:17000/instances >/dev/null
 for i in 0 1 2 3 4 5 6; do
@@ -60,6 +61,9 @@
   wait_ready "127.0.0.1:$((17010 + i))"
 done
 
+echo "== ibisrock status: the version in force on every instance"
+"$build/ibisrock" status --platform 127.0.0.1:17000
+
 echo "== ibisrock query dockdesk 'paddler 7': all 20 shards"
 "$build/ibisrock" query dockdesk 'paddler 7' --instance 127.0.0.1:17010
 
--- a/src/cli/apply.cpp
+++ b/src/cli/apply.cpp
@@ -82,7 +82,8 @@
     }.dump(2) << "\n";
   } else {
     std::ostream& stream = outcome.code_ == ExitCode::Done ? aCall.out_ : aCall.err_;
-    stream << outcome.name_ << ": version " << result.version_.Value() << ": " << result.text_ << "\n";
+    const std::string explanation = result.text_ == outcome.name_ ? "" : ": " + result.text_;
+    stream << "version " << result.version_.Value() << ": " << outcome.name_ << explanation << "\n";
   }
   return outcome.code_;
 }
@@ -108,7 +109,7 @@
     }.dump(2) << "\n";
     return;
   }
-  aCall.out_ << "dry run: " << aOutcome << "; version " << aVersion << " is in force\n";
+  aCall.out_ << "dry run, outcome of apply: " << aOutcome << "; version " << aVersion << " is in force\n";
   WriteNames(aCall.out_, "added", aDifference.added_);
   WriteNames(aCall.out_, "changed", aDifference.changed_);
   WriteNames(aCall.out_, "removed", aDifference.removed_);
