--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -217,6 +217,12 @@
   EXPECT_EQ(Apply(kDockdesk, {}, ExitCode::Done)["outcome"], "unchanged");
 }
 
+// Guards against a dry run that accepts a base version that apply would not find.
+TEST_F(CliApply, DryRunFailsForBaseThatDoesNotExist)
+{
+  EXPECT_EQ(Apply(kDockdesk, { "--dry-run", "--base", "4" }, ExitCode::Failed)["outcome"], "failed");
+}
+
 struct StatusCase
 {
   const char* name_;
