Test that a write to the object store is sent once

Cause: cxxtools sends a request again when the peer closes a kept connection without a reply. A write that is sent twice conflicts with itself. Put has a fresh connection, which goes through ExchangeOnce, but no test held it to that. Change: tests/object_store_test.cpp counts what a raw target sees of three writes, with replies that keep the connection open, refuse and close without a reply. A raw target's script can read a further request on the same connection. Conclusion: Put needs no change.

--- /dev/null
+++ b/tests/object_store_test.cpp
@@ -0,0 +1,67 @@
+#include "adapters/http_object_store.h"
+#include "raw_target.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace ibisrock::adapters {
+namespace {
+
+constexpr unsigned short kPort = 18961;
+const std::string kWritten = "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 0\r\n\r\n";
+
+/// Keeps the connection open after the reply, and closes it without a reply to a second request.
+void
+AnswerFirst(RawConnection& aConnection)
+{
+  aConnection.Write(kWritten);
+  aConnection.ReadRequest();
+}
+
+void
+Refuse(RawConnection& aConnection)
+{
+  aConnection.Write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
+}
+
+StoreResult
+Put(ObjectStore& aStore)
+{
+  std::promise<StoreResult> promise;
+  aStore.Put("key", RawTarget::kEndOfBody, StoreRevision(6), [&promise](StoreResult aResult) {
+    promise.set_value(std::move(aResult));
+  });
+  return promise.get_future().get();
+}
+
+struct PutCase
+{
+  const char* name_;
+  void (*script_)(RawConnection&);
+  StoreOutcome outcome_;
+};
+
+class PutOnSocket : public testing::TestWithParam<PutCase>
+{};
+
+// Guards against a write that the HTTP library sends a second time, on a kept connection or on a new one: the second
+// one conflicts with the first, and the writer is told that its own write was another's.
+TEST_P(PutOnSocket, IsSentOnce)
+{
+  RawTarget target(kPort, GetParam().script_);
+  HttpObjectStore store("127.0.0.1:" + std::to_string(kPort));
+  for (unsigned count = 1; count <= 3; count++) {
+    EXPECT_EQ(Put(store).outcome_, GetParam().outcome_);
+    EXPECT_EQ(target.Seen(), count);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Replies,
+                         PutOnSocket,
+                         testing::Values(PutCase{ "KeptOpen", AnswerFirst, StoreOutcome::Ok },
+                                         PutCase{ "Refused", Refuse, StoreOutcome::Unavailable },
+                                         PutCase{ "Closed", [](RawConnection&) {}, StoreOutcome::Unknown }),
+                         [](const auto& aInfo) { return std::string(aInfo.param.name_); });
+
+} // namespace
+} // namespace ibisrock::adapters
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -19,8 +19,9 @@
 class SocketConnection final : public RawConnection
 {
 public:
-  explicit SocketConnection(TcpServer& aServer)
+  SocketConnection(TcpServer& aServer, std::atomic<unsigned>& aSeen)
     : socket_(aServer)
+    , seen_(aSeen)
   {
   }
 
@@ -31,8 +32,7 @@
     }
   }
 
-  /// Returns false when the client closed the connection before the end of a request.
-  bool ReadRequest()
+  bool ReadRequest() override
   {
     const std::string end = RawTarget::kEndOfBody;
     std::string read;
@@ -44,11 +44,13 @@
       }
       read.append(part, count);
     }
+    seen_++;
     return true;
   }
 
 private:
   TcpSocket socket_;
+  std::atomic<unsigned>& seen_;
 };
 
 } // namespace
@@ -75,7 +77,7 @@
   {
     while (true) {
       try {
-        auto connection = std::make_shared<SocketConnection>(server_);
+        auto connection = std::make_shared<SocketConnection>(server_, seen_);
         serving_.emplace_back([this, connection] { Serve(*connection); });
       } catch (const cxxtools::net::AcceptTerminated&) {
         return;
@@ -87,7 +89,6 @@
   {
     try {
       if (aConnection.ReadRequest()) {
-        seen_++;
         script_(aConnection);
       }
     } catch (const std::exception&) {
--- a/tests/raw_target.h
+++ b/tests/raw_target.h
@@ -15,6 +15,8 @@
 
   /// Throws when the client has closed the connection.
   virtual void Write(const std::string& aText) = 0;
+  /// Reads and counts one whole request. Returns false when the client closed the connection before its end.
+  virtual bool ReadRequest() = 0;
 };
 
 /// A target on a plain TCP socket that counts the whole requests it reads and answers as the test says.
