Let the caller API tests take a free port

Cause: the tests listened on port 17931. Change: the API takes the first free port of a range, and its connections go to that one. RawTarget and the stand-in tests still have fixed ports.

--- a/tests/caller_api_test.cpp
+++ b/tests/caller_api_test.cpp
@@ -8,8 +8,9 @@
 namespace ibisrock::adapters {
 namespace {
 
-constexpr const char* kAddress = "127.0.0.1:17931";
-constexpr uint16_t kPort = 17931;
+/// The API takes the first free port of these, because other processes on the machine may use some.
+constexpr uint16_t kFirstPort = 17931;
+constexpr uint16_t kLastPort = 17999;
 
 HttpRequest
 MakeRequest(std::map<std::string, std::string> aHeaders)
@@ -115,28 +116,34 @@
     cluster_.Restart(0);
     LastReason reason;
     HttpServerSettings settings;
-    settings.address_ = kAddress;
     settings.minThreads_ = 1;
     settings.maxThreads_ = 2;
     settings.maxBody_ = 1000;
     settings.maxHeader_ = 500;
     settings.readTimeout_ = Millis(300);
-    auto server = HttpServer::Create(settings, MakeCallerApi(Node()), reason);
-    EXPECT_TRUE(server) << reason.Text();
-    server_ = std::move(*server);
+    for (port_ = kFirstPort; port_ <= kLastPort; port_++) {
+      settings.address_ = "127.0.0.1:" + std::to_string(port_);
+      if (auto created = HttpServer::Create(settings, MakeCallerApi(Node()), reason)) {
+        server_ = std::move(*created);
+        break;
+      }
+    }
+    EXPECT_TRUE(server_) << reason.Text();
   }
 
   Instance& Node() { return cluster_.At(0); }
+  uint16_t Port() const { return port_; }
 
   /// Sends bytes on a new connection and returns everything until the server closes it.
-  static std::string Exchange(const std::string& aBytes)
+  std::string Exchange(const std::string& aBytes) const
   {
-    const RawConnection connection(kPort);
+    const RawConnection connection(port_);
     EXPECT_TRUE(connection.Send(aBytes));
     return connection.ReadAll();
   }
 
 private:
+  uint16_t port_ = 0;
   fakes::FakeCluster cluster_;
   std::unique_ptr<HttpServer> server_;
 };
@@ -162,11 +169,11 @@
 TEST_P(RawRequests, GetAnErrorThatSaysNotRun)
 {
   LoopbackApi api;
-  const std::string reply = LoopbackApi::Exchange(GetParam().bytes_);
+  const std::string reply = api.Exchange(GetParam().bytes_);
   EXPECT_NE(reply.find(std::string(" ") + GetParam().status_ + " "), std::string::npos) << reply;
   EXPECT_NE(reply.find("Ibisrock-Verdict: not-run"), std::string::npos) << reply;
   EXPECT_NE(reply.find(std::string("\"reason\":\"") + GetParam().reason_), std::string::npos) << reply;
-  const std::string next = LoopbackApi::Exchange("GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string next = api.Exchange("GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
   EXPECT_NE(next.find(" 200 "), std::string::npos) << next;
 }
 
@@ -193,7 +200,7 @@
 TEST(CallerApi, TruncatedRequestReachesNoHandler)
 {
   LoopbackApi api;
-  const RawConnection connection(kPort);
+  const RawConnection connection(api.Port());
   EXPECT_TRUE(connection.Send(Post("Content-Length: 9\r\n", "half")));
   connection.FinishSending();
   // A query that reaches the instance gets a 503, because the instance has no configuration.
@@ -206,10 +213,10 @@
   LoopbackApi api;
   std::vector<std::unique_ptr<RawConnection>> halves;
   for (int i = 0; i < 20; i++) {
-    halves.push_back(std::make_unique<RawConnection>(kPort));
+    halves.push_back(std::make_unique<RawConnection>(api.Port()));
     EXPECT_TRUE(halves.back()->Send("POST /v1/query/dockdesk HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"));
   }
-  const std::string reply = LoopbackApi::Exchange("GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string reply = api.Exchange("GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
   EXPECT_NE(reply.find(" 200 "), std::string::npos) << reply;
 }
 
@@ -218,7 +225,7 @@
 {
   LoopbackApi api;
   api.Node().BeginLeave();
-  const std::string reply = LoopbackApi::Exchange("GET /readyz HTTP/1.1\r\n\r\n");
+  const std::string reply = api.Exchange("GET /readyz HTTP/1.1\r\n\r\n");
   EXPECT_NE(reply.find("Connection: close"), std::string::npos) << reply;
 }
 
