Give each process its own ports in the transport tests

Cause: ReturningPeerGetsNoOldMessages leaves the port of a peer free for over a second. Every process chose ports from 23100 on, so another run of the tests could take it. A peer without a transport then ends the process with a segmentation fault, which was seen once, after 26 repetitions; that another run had the port is likely, but was not recorded. Change: the ports follow from the process id, and a peer that cannot listen fails the test with the reason.

--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -5,7 +5,9 @@
 #include <gtest/gtest.h>
 #include <mutex>
 #include <set>
+#include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 namespace ibisrock::adapters {
 namespace {
@@ -21,13 +23,19 @@
 
   explicit Endpoint(const std::string& aAddress = "")
   {
+    // Each process has ports of its own, so that no other one takes the port of a peer that is gone for a while.
+    constexpr int kPortsOfProcess = 8;
+    const int firstPort = 20000 + (getpid() % 1000) * kPortsOfProcess;
     LastReason reason;
-    for (int port = 23100; !transport_ && port < 24100; port++) {
+    for (int port = firstPort; !transport_ && port < firstPort + kPortsOfProcess; port++) {
       address_ = aAddress.empty() ? "127.0.0.1:" + std::to_string(port) : aAddress;
       if (auto created = NngTransport::Create(address_, reason)) {
         transport_ = std::move(*created);
       }
     }
+    if (!transport_) {
+      throw std::runtime_error(reason.Text());
+    }
     transport_->SetReceiver([this](std::string_view aBytes) {
       std::lock_guard lock(mutex_);
       received_.emplace_back(aBytes);
