Close the pull socket only when its connections are at rest

Cause: with nng 1.5.2, nng_close on a pull socket may not return while a peer sends. In the stacks, nng_close waits for its connections to be removed, and nng's one thread that removes them waits for an operation of a connection that never ends; every later nng_close of the process then waits too. With the peer in another process the pull side still hangs. Why the operation never ends is not known; it needs a receive that completes at the moment of the close. Change: Stop ends the receiving thread by a receive time-out of 50 ms, waits 100 ms and then closes. When nobody receives, a connection takes one more message and no other. Conclusion: a peer that is silent for 100 ms and sends its next message within the close can still hit the fault; the window is some microseconds, and no such case was seen.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -30,6 +30,12 @@
 /// A socket without messages for this long is closed, so that departed members leave none behind.
 constexpr auto kIdleTime = 60s;
 constexpr auto kSweepTime = 1s;
+/// Longest time that the receiving thread takes to notice Stop.
+constexpr nng_duration kReceiveTimeoutMs = 50;
+/// Time between the last receive and nng_close. nng 1.5.2 may wait for ever in nng_close, and with it every later
+/// nng_close of the process, when a connection completes a receive at that moment. Once nobody receives, a connection
+/// takes one more message and then no other, so that connections in use are at rest after this time.
+constexpr auto kSettleTime = 100ms;
 
 /// Dials without waiting. Returns no value when no socket can be made.
 std::optional<nng_socket>
@@ -100,6 +106,7 @@
   if (error == 0) {
     nng_socket_set_int(pull, NNG_OPT_RECVBUF, kReceiveBufferMessages);
     nng_socket_set_size(pull, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
+    nng_socket_set_ms(pull, NNG_OPT_RECVTIMEO, kReceiveTimeoutMs);
     error = nng_listen(pull, ("tcp://" + aAddress).c_str(), nullptr, 0);
   }
   if (error != 0) {
@@ -135,8 +142,9 @@
   if (stopped_.exchange(true)) {
     return;
   }
-  nng_close(nng_socket{ pullSocket_ });
   receiveThread_.join();
+  std::this_thread::sleep_for(kSettleTime);
+  nng_close(nng_socket{ pullSocket_ });
 }
 
 void
@@ -149,9 +157,13 @@
 void
 NngTransport::ReceiveLoop()
 {
-  while (true) {
+  while (!stopped_) {
     nng_msg* message = nullptr;
-    if (nng_recvmsg(nng_socket{ pullSocket_ }, &message, 0) != 0) {
+    const int error = nng_recvmsg(nng_socket{ pullSocket_ }, &message, 0);
+    if (error == NNG_ETIMEDOUT) {
+      continue;
+    }
+    if (error != 0) {
       return;
     }
     Receiver receiver;
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -36,7 +36,7 @@
   /// Returns false only for a message that was not queued: the peer accepts nothing, its queue is full, or the message
   /// is too large. A queued message is dropped when the peer accepts nothing for a second.
   bool Send(const PeerAddress& aPeer, std::string aBytes) override;
-  /// Stops receiving. Send keeps working until destruction.
+  /// Stops receiving, which takes up to 150 ms. Send keeps working until destruction. Not to be called by the receiver.
   void Stop();
 
 private:
