--- a/src/process/replica_selector.cpp
+++ b/src/process/replica_selector.cpp
@@ -42,9 +42,7 @@
   return (aReplica.latency_ * std::exp(-age / kMemorySeconds) + 1) * (aReplica.outstanding_ + 1);
 }
 
-/// One of two random members of a list that is not empty, the better one more often, in inverse proportion to the
-/// scores. Always taking the better one makes all instances turn to the same replica and leave the other idle. Needs
-/// the lock.
+/// The better of two random members of a list that is not empty. Needs the lock.
 const TargetName&
 BalancedSelector::Better(const std::vector<TargetName>& aFrom, TimePoint aNow)
 {
@@ -54,9 +52,7 @@
     return aFrom[first];
   }
   const uint32_t second = (first + 1 + random_.Below(count - 1)) % count;
-  const double firstScore = Score(replicas_[aFrom[first]], aNow);
-  const double secondScore = Score(replicas_[aFrom[second]], aNow);
-  return random_.Unit() * (firstScore + secondScore) < secondScore ? aFrom[first] : aFrom[second];
+  return Score(replicas_[aFrom[second]], aNow) < Score(replicas_[aFrom[first]], aNow) ? aFrom[second] : aFrom[first];
 }
 
 std::optional<TargetName>
