Start no hedge while a service is overloaded

Cause: at twice the capacity hedges took slots from queries that would have been answered; ruled out before: instances turning to the same replica. Change: no hedge for a second after the learned concurrency limit was cut.

--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -158,6 +158,15 @@
   return found == shard.services_.end() ? 0 : found->second.inFlight_;
 }
 
+bool
+Admission::IsOverloaded(const ServiceName& aService) const
+{
+  const Shard& shard = ShardOf(aService);
+  std::lock_guard lock(shard.mutex_);
+  auto found = shard.services_.find(aService);
+  return found != shard.services_.end() && found->second.limit_.IsOverloaded(timers_.Now());
+}
+
 unsigned
 Admission::LimitOf(const ServiceName& aService) const
 {
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -41,6 +41,8 @@
   void Leave(const ServiceName& aService, const CallerName& aCaller, const ConcurrencyLimit::Sample& aSample);
   /// Queries of a service in flight here.
   unsigned InFlight(const ServiceName& aService) const;
+  /// True while the service is overloaded, so that extra attempts would only add to it.
+  bool IsOverloaded(const ServiceName& aService) const;
   /// The learned limit of a service; 0 before its first query.
   unsigned LimitOf(const ServiceName& aService) const;
 
--- a/src/process/concurrency_limit.h
+++ b/src/process/concurrency_limit.h
@@ -26,6 +26,8 @@
 
   unsigned Current() const { return static_cast<unsigned>(limit_); }
   void Add(const Sample& aSample, TimePoint aNow);
+  /// True while the limit has been cut within the last second.
+  bool IsOverloaded(TimePoint aNow) const { return aNow - shrunkAt_ < std::chrono::seconds(1); }
 
 private:
   double limit_ = 16;
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -138,6 +138,12 @@
   });
 }
 
+bool
+Coordinator::MayHedge(const ServiceName& aService) const
+{
+  return services_.Tuning().hedges_ && !admission_.IsOverloaded(aService);
+}
+
 void
 Coordinator::StartRun(const AdmittedPtr& aAdmitted)
 {
@@ -151,10 +157,12 @@
   query.deadline_ = left;
   RunPlan plan{ aAdmitted->id_,     std::move(query),   aAdmitted->service_,
                 aAdmitted->config_, std::move(*shards), aAdmitted->canaryFirst_ };
-  const RunEnvironment environment{
-    environment_.timers_,      parts_.sender_, services_.Get(aAdmitted->service_->name_), versions_, crashes_,
-    services_.Tuning().hedges_
-  };
+  const RunEnvironment environment{ environment_.timers_,
+                                    parts_.sender_,
+                                    services_.Get(aAdmitted->service_->name_),
+                                    versions_,
+                                    crashes_,
+                                    MayHedge(aAdmitted->service_->name_) };
   auto run = QueryRun::Create(
     std::move(plan), environment, [this, aAdmitted](Answer aAnswer) { Finish(aAdmitted, std::move(aAnswer)); });
   run->Start();
--- a/src/process/coordinator.h
+++ b/src/process/coordinator.h
@@ -66,6 +66,8 @@
   void FollowMembership();
   std::optional<Answer> Admit(const AdmittedPtr& aAdmitted);
   void ClaimKey(const AdmittedPtr& aAdmitted);
+  /// False during an overload, which hedges would feed.
+  bool MayHedge(const ServiceName& aService) const;
   void StartRun(const AdmittedPtr& aAdmitted);
   void Finish(const AdmittedPtr& aAdmitted, Answer aAnswer);
 
