--- a/src/process/target_poller.cpp
+++ b/src/process/target_poller.cpp
@@ -30,6 +30,7 @@
 {
   environment_.timers_.After(kPollInterval, [this] {
     PollOwned();
+    states_.SpreadLeaving();
     Start();
   });
 }
--- a/src/process/target_poller.h
+++ b/src/process/target_poller.h
@@ -7,7 +7,8 @@
 
 namespace ibisrock {
 
-/// Looks at the health endpoint of each target that this instance owns, once a second. It outlives the timers and the
+/// Looks at the health endpoint of each target that this instance owns, once a second, and spreads again which targets
+/// are leaving. It outlives the timers and the
 /// probes that it started.
 class TargetPoller
 {
--- a/src/process/target_states.cpp
+++ b/src/process/target_states.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace ibisrock {
 
@@ -122,6 +123,23 @@
   Log(update, before, after);
 }
 
+void
+TargetStates::SpreadLeaving()
+{
+  std::vector<wire::TargetUpdate> leaving;
+  for (Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex_);
+    for (const auto& [target, entry] : shard.entries_) {
+      if (entry.state_ == TargetState::Draining) {
+        leaving.push_back({ target, entry.boots_.Current(), entry.state_, {} });
+      }
+    }
+  }
+  for (const wire::TargetUpdate& update : leaving) {
+    spread_(update);
+  }
+}
+
 void
 TargetStates::OnHealth(const TargetName& aTarget, const TargetReply& aReply)
 {
--- a/src/process/target_states.h
+++ b/src/process/target_states.h
@@ -31,6 +31,8 @@
   /// versions, so that late updates cannot circulate for ever.
   bool OnUpdate(const wire::TargetUpdate& aUpdate);
 
+  /// Spreads again which targets are leaving. A restarted instance knows none of them, and gossip can be lost.
+  void SpreadLeaving();
   /// True from a draining mark until a new boot id is seen.
   bool IsLeaving(const TargetName& aTarget) const;
   /// False when the target is known to lack the version.
