--- a/src/process/target_poller.cpp
+++ b/src/process/target_poller.cpp
@@ -1,7 +1,5 @@
 #include "process/target_poller.h"
 
-#include "process/ownership.h"
-
 #include <utility>
 
 namespace ibisrock {
@@ -45,7 +43,7 @@
   }
   for (const auto& [serviceName, service] : configuration->services_) {
     for (const auto& [name, target] : service->targets_) {
-      const Member* owner = FindOwner(*view, name, target.dataCentre_);
+      const Member* owner = owners_.Find(view, name, target.dataCentre_);
       if (owner != nullptr && owner->id_ == self_.id_) {
         environment_.targets_.Probe(name, target.address_, [this, probed = name](const TargetReply& aReply) {
           states_.OnHealth(probed, aReply);
--- a/src/process/target_poller.h
+++ b/src/process/target_poller.h
@@ -3,6 +3,7 @@
 
 #include "process/config_keeper.h"
 #include "process/membership.h"
+#include "process/ownership.h"
 #include "process/target_states.h"
 
 namespace ibisrock {
@@ -30,6 +31,7 @@
   const Membership& membership_;
   const ConfigKeeper& config_;
   TargetStates& states_;
+  OwnershipTable owners_;
 };
 
 } // namespace ibisrock
