--- a/src/standin/target_behaviour.cpp
+++ b/src/standin/target_behaviour.cpp
@@ -28,7 +28,7 @@
 const std::map<std::string, Setter>&
 Setters()
 {
-  static const std::map<std::string, Setter> setters = {
+  static const std::map<std::string, Setter> kSetters = {
     { "service_ms", SetMillis(&TargetBehaviour::serviceTime_) },
     { "slots", Set(&TargetBehaviour::slots_) },
     { "connections", Set(&TargetBehaviour::connections_) },
@@ -44,7 +44,7 @@
     { "false_health", Set(&TargetBehaviour::falseHealth_) },
     { "health_lag_ms", SetMillis(&TargetBehaviour::healthLag_) },
   };
-  return setters;
+  return kSetters;
 }
 
 } // namespace
