Send no request after its deadline and look for events once more

Cause: found by reading: building a large request can use up the budget; the exchange then began anyway and, without an event seen, could have reported not run although a connection that was established at once had taken bytes. Change: an exchange whose deadline has passed is refused before it begins, and events are looked for at least once before the verdict. Result: the new test passes; it was not run against the old code.

--- a/src/adapters/single_exchange.cpp
+++ b/src/adapters/single_exchange.cpp
@@ -31,6 +31,9 @@
   {
     const Clock::time_point deadline = Clock::now() + aCall.timeout_;
     const cxxtools::http::Request request = BuildRequest(aCall);
+    if (Clock::now() >= deadline) {
+      return FailedOutcome(Verdict::NotRun, Reason::Expired, "the deadline passed before the request was sent");
+    }
     try {
       client_.beginExecute(request);
       if (!WaitUntil(deadline)) {
@@ -45,15 +48,17 @@
   }
 
 private:
-  /// Handles the events of the connection. Returns false when the deadline passed before the reply was complete.
+  /// Handles the events of the connection. Returns false when the deadline passed before the reply was complete. Events
+  /// are looked for at least once, also after the deadline: a connection that was established at once may have sent.
   bool WaitUntil(Clock::time_point aDeadline)
   {
     while (!finished_) {
-      const auto left = std::chrono::duration_cast<Micros>(aDeadline - Clock::now());
-      if (left <= Micros::zero()) {
+      const auto left = std::max(std::chrono::duration_cast<Micros>(aDeadline - Clock::now()), Micros::zero());
+      const bool isLast = left == Micros::zero();
+      hadEvent_ = selector_.wait(cxxtools::Milliseconds(static_cast<double>(left.count()) / 1000.0)) || hadEvent_;
+      if (isLast && !finished_) {
         return false;
       }
-      hadEvent_ = selector_.wait(cxxtools::Milliseconds(static_cast<double>(left.count()) / 1000.0)) || hadEvent_;
     }
     return true;
   }
--- a/tests/target_client_test.cpp
+++ b/tests/target_client_test.cpp
@@ -56,13 +56,17 @@
 }
 
 TargetReply
-RunAttempt(TargetClient& aClient, bool aIdempotent, unsigned short aPort, const std::string& aBody)
+RunAttempt(TargetClient& aClient,
+           bool aIdempotent,
+           unsigned short aPort,
+           const std::string& aBody,
+           Micros aBudget = Millis(300))
 {
   TargetAttempt attempt;
   attempt.address_ = TargetAddress("127.0.0.1:" + std::to_string(aPort));
   attempt.idempotent_ = aIdempotent;
   attempt.body_ = aBody;
-  attempt.budget_ = Millis(300);
+  attempt.budget_ = aBudget;
   attempt.maxConnections_ = 1;
   std::promise<TargetReply> promise;
   aClient.Start(attempt, [&promise](TargetReply aReply) { promise.set_value(std::move(aReply)); });
@@ -125,6 +129,17 @@
   EXPECT_EQ(timedOut.reason_, Reason::ConnectFailed);
 }
 
+// Guards against a request that is sent although its deadline has passed, and then reported as not run.
+TEST(TargetConnect, ExpiredAttemptIsNotSent)
+{
+  RawTarget target(kPort, AnswerWhole);
+  HttpTargetClient client(1);
+  const TargetReply reply = RunAttempt(client, false, kPort, RawTarget::kEndOfBody, Micros::zero());
+  EXPECT_EQ(reply.verdict_, Verdict::NotRun);
+  EXPECT_EQ(reply.reason_, Reason::Expired);
+  EXPECT_EQ(target.Seen(), 0U);
+}
+
 // Guards against a request that was written in part, or written to a peer that never reads it, being reported as not
 // run. A body of 16 MB does not fit into the socket buffers.
 TEST(TargetConnect, UnreadRequestMayHaveRun)
