Change index versions and partitioning under load in a scenario

Change: the scenario versions loads, publishes and drops an index version every 4 s, each with another partitioning, target by target; the history test runs it.

--- a/experiment/scenarios.cpp
+++ b/experiment/scenarios.cpp
@@ -1,11 +1,13 @@
 #include "experiment/trial.h"
 
 #include "version/apply.h"
+#include "version/index_catalogue.h"
 #include "version/sheet.h"
 
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace ibisrock::experiment {
 
@@ -197,6 +199,68 @@
   });
 }
 
+/// Shard map of an index version. Each version moves every shard to the targets of the next one, as a repartitioning
+/// does.
+ShardMap
+MapOfVersion(const fakes::ClusterShape& aShape, IndexVersion aVersion)
+{
+  ShardMap map{ aVersion, {} };
+  for (unsigned shard = 0; shard < aShape.shards_; shard++) {
+    const auto holder = static_cast<unsigned>((shard + aVersion.Value() - 1) % aShape.shards_);
+    std::vector<TargetName>& targets = map.shards_[ShardName("s" + std::to_string(shard))];
+    for (unsigned replica = 0; replica < aShape.replicas_; replica++) {
+      targets.push_back(FakeCluster::TargetOf(holder, replica));
+    }
+  }
+  return map;
+}
+
+/// Changes the index versions that each target holds, one target after another within a second.
+void
+ChangeHeldVersions(Trial& aTrial, const std::function<void(std::set<IndexVersion>&)>& aChange)
+{
+  const fakes::ClusterShape& shape = aTrial.Settings().shape_;
+  for (unsigned shard = 0; shard < shape.shards_; shard++) {
+    for (unsigned replica = 0; replica < shape.replicas_; replica++) {
+      const Micros delay = Millis(aTrial.FaultRandom().Below(1000));
+      aTrial.After(delay, [&aTrial, aChange, target = FakeCluster::TargetOf(shard, replica)] {
+        aTrial.ChangeTarget(target, [&aChange](FakeTarget& aTarget) { aChange(aTarget.held_); });
+      });
+    }
+  }
+}
+
+/// Publishes the catalogue with the versions before and after a change.
+void
+PublishCatalogue(Trial& aTrial, IndexVersion aOld, IndexVersion aNew)
+{
+  const fakes::ClusterShape& shape = aTrial.Settings().shape_;
+  const IndexCatalogue catalogue{ aNew.Value(), { MapOfVersion(shape, aNew), MapOfVersion(shape, aOld) } };
+  const std::string key = CatalogueKey(ServiceName(fakes::kClusterService));
+  aTrial.Recorder().AddShardMap(ServiceName(fakes::kClusterService), catalogue.maps_.front());
+  aTrial.Cluster().store_.Get(key, [&aTrial, key, catalogue](const StoreResult& aResult) {
+    aTrial.Cluster().store_.Put(key, EncodeCatalogue(catalogue), aResult.revision_, [](const StoreResult&) {});
+  });
+}
+
+/// Every 4 s a new index version with another partitioning is loaded and published while some targets still lack it,
+/// and the old one is dropped while queries still use it.
+void
+Versions(Trial& aTrial)
+{
+  auto current = std::make_shared<IndexVersion>(1);
+  aTrial.Every(Seconds(4), [&aTrial, current] {
+    const IndexVersion old = *current;
+    const IndexVersion next = old.Next();
+    *current = next;
+    ChangeHeldVersions(aTrial, [next](std::set<IndexVersion>& aHeld) { aHeld.insert(next); });
+    aTrial.After(Millis(500), [&aTrial, old, next] { PublishCatalogue(aTrial, old, next); });
+    aTrial.After(Seconds(2), [&aTrial, old] {
+      ChangeHeldVersions(aTrial, [old](std::set<IndexVersion>& aHeld) { aHeld.erase(old); });
+    });
+  });
+}
+
 void
 Crashes(Trial& aTrial)
 {
@@ -237,6 +301,7 @@
       &LostStoreAnswers },
     { "drains", "a target drains every 7 s and comes back after 6 s", 0.4, &Drains },
     { "sheets", "a new sheet is accepted every 2 s", 0.4, &Sheets },
+    { "versions", "a new index version with another partitioning replaces the old one every 4 s", 0.4, &Versions },
     { "crashes", "a query that crashes each target is sent every second", 0.3, &Crashes },
     { "mixed", "stragglers, kills, freezes, cuts, drains, sheets and outages together", 0.3, &Mixed },
   };
