Keep connections to targets with a client that never sends a request twice

Ruled out: pointing a kept cxxtools client at a closed port so that its second send fails; changing the address closes the kept connection. Change: HttpConnection (Boost.Beast) and ConnectionPool replace the cxxtools client for all calls. A request is sent at most once, one deadline holds for the whole call, chunked replies are read, and header names are compared without regard to case. Canaries and attempts that are not idempotent use a new connection. The loss of a kept connection without a byte of a reply counts as a shared loss, so that an innocent query is not blocked as crash suspect. The stand-in target charges the set-up of a connection once for each connection instead of for each request.

--- a/src/adapters/http_caller.cpp
+++ b/src/adapters/http_caller.cpp
@@ -1,138 +1,74 @@
 #include "adapters/http_caller.h"
 
-#include "adapters/http_outcome.h"
-#include "adapters/single_exchange.h"
+#include "adapters/connection_pool.h"
 #include "adapters/socket_address.h"
 
-#include <algorithm>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/ioerror.h>
-#include <exception>
+#include <strings.h>
 
 namespace ibisrock::adapters {
 
 namespace {
 
-/// Connections to one address that are kept for the next call.
-constexpr size_t kMaxIdle = 4;
-/// A kept connection is closed when it was not used for so long.
-constexpr std::chrono::seconds kMaxIdleTime{ 10 };
-
-cxxtools::Milliseconds
-ToMilliseconds(Micros aTime)
-{
-  return cxxtools::Milliseconds(static_cast<double>(std::max(aTime, Micros(1000)).count()) / 1000.0);
-}
-
-} // namespace
-
-HttpCaller::HttpCaller() = default;
-HttpCaller::~HttpCaller() = default;
-
-HttpCaller::ClientPtr
-HttpCaller::TakeIdle(const std::string& aAddress)
+HttpOutcome
+NotRunOutcome(Reason aReason, std::string aError)
 {
-  std::lock_guard lock(mutex_);
-  auto found = idle_.find(aAddress);
-  if (found == idle_.end() || found->second.empty()) {
-    return nullptr;
-  }
-  ClientPtr client = std::move(found->second.back().client_);
-  found->second.pop_back();
-  return client;
+  HttpOutcome outcome;
+  outcome.verdict_ = Verdict::NotRun;
+  outcome.reason_ = aReason;
+  outcome.error_ = std::move(aError);
+  return outcome;
 }
 
-void
-HttpCaller::KeepIdle(const std::string& aAddress, ClientPtr aClient)
+/// Sends the request on aConnection, or on a new connection when there is none or when nothing could be sent on it.
+HttpOutcome
+SendOnce(std::unique_ptr<HttpConnection>& aConnection, const SocketAddress& aAddress, const HttpCall& aCall)
 {
-  const Clock::time_point now = Clock::now();
-  std::lock_guard lock(mutex_);
-  std::vector<Idle>& idle = idle_[aAddress];
-  if (idle.size() < kMaxIdle) {
-    idle.push_back({ std::move(aClient), now });
-  }
-  if (now - lastSweep_ >= kMaxIdleTime) {
-    lastSweep_ = now;
-    CloseUnused(now);
+  const HttpConnection::Clock::time_point deadline = HttpConnection::Clock::now() + aCall.timeout_;
+  if (aConnection) {
+    HttpOutcome outcome = aConnection->Exchange(aCall, deadline);
+    if (outcome.verdict_ != Verdict::NotRun) {
+      outcome.lostKeptConnection_ = outcome.reason_ == Reason::ConnectionLost && !aConnection->HasReadAny();
+      return outcome;
+    }
   }
+  HttpOutcome failed;
+  aConnection = std::make_unique<HttpConnection>();
+  return aConnection->Open(aAddress, deadline, failed) ? aConnection->Exchange(aCall, deadline) : failed;
 }
 
-/// Needs the lock.
-void
-HttpCaller::CloseUnused(Clock::time_point aNow)
-{
-  for (auto& [address, idle] : idle_) {
-    std::erase_if(idle, [aNow](const Idle& aIdle) { return aNow - aIdle.since_ >= kMaxIdleTime; });
-  }
-  std::erase_if(idle_, [](const auto& aEntry) { return aEntry.second.empty(); });
-}
+} // namespace
 
 bool
-HttpCaller::TakeConnection(const HttpCall& aCall)
+HeaderNameLess::operator()(const std::string& aLeft, const std::string& aRight) const
 {
-  std::lock_guard lock(mutex_);
-  uint32_t& open = open_[aCall.address_];
-  if (aCall.maxConnections_ != 0 && open >= aCall.maxConnections_) {
-    return false;
-  }
-  open++;
-  return true;
+  return strcasecmp(aLeft.c_str(), aRight.c_str()) < 0;
 }
 
-void
-HttpCaller::ReturnConnection(const std::string& aAddress)
+HttpCaller::HttpCaller()
+  : pool_(std::make_unique<ConnectionPool>())
 {
-  std::lock_guard lock(mutex_);
-  auto found = open_.find(aAddress);
-  if (--found->second == 0) {
-    open_.erase(found);
-  }
 }
 
+HttpCaller::~HttpCaller() = default;
+
 HttpOutcome
 HttpCaller::Call(const HttpCall& aCall)
 {
   LastReason reason;
   auto address = ParseSocketAddress(aCall.address_, reason);
   if (!address) {
-    return FailedOutcome(Verdict::NotRun, Reason::ConnectFailed, reason.Text());
+    return NotRunOutcome(Reason::ConnectFailed, reason.Text());
   }
-  if (!aCall.freshConnection_) {
-    return CallOnKept(*address, aCall);
+  if (aCall.timeout_ <= Micros::zero()) {
+    return NotRunOutcome(Reason::Expired, "the deadline passed before the request was sent");
   }
-  if (!TakeConnection(aCall)) {
-    return FailedOutcome(Verdict::NotRun, Reason::Overloaded, "all connections to the address are in use");
+  auto lease = pool_->Take(aCall.address_, aCall.maxConnections_, aCall.freshConnection_);
+  if (!lease) {
+    return NotRunOutcome(Reason::Overloaded, "all connections to the address are in use");
   }
-  HttpOutcome outcome = ExchangeOnce(*address, aCall);
-  ReturnConnection(aCall.address_);
+  HttpOutcome outcome = SendOnce(lease->kept_, *address, aCall);
+  pool_->Return(aCall.address_, std::move(lease->kept_));
   return outcome;
 }
 
-/// Uses a kept connection if there is one. A failure on it gives MayHaveRun even if the last error was that connecting
-/// failed, because the library may have sent the request before it tried to connect again.
-HttpOutcome
-HttpCaller::CallOnKept(const SocketAddress& aAddress, const HttpCall& aCall)
-{
-  ClientPtr client = TakeIdle(aCall.address_);
-  const bool isNew = !client;
-  if (isNew) {
-    client = std::make_unique<cxxtools::http::Client>(aAddress.ip_, aAddress.port_);
-  }
-  try {
-    client->execute(BuildRequest(aCall), ToMilliseconds(aCall.timeout_), ToMilliseconds(aCall.timeout_));
-    client->readBody();
-    HttpOutcome outcome = CompleteOutcome(client->header(), client->body());
-    KeepIdle(aCall.address_, std::move(client));
-    return outcome;
-  } catch (const std::exception& error) {
-    HttpOutcome outcome = FailureOnNewConnection(error);
-    if (!isNew && outcome.verdict_ == Verdict::NotRun) {
-      outcome.verdict_ = Verdict::MayHaveRun;
-      outcome.reason_ = Reason::ConnectionLost;
-    }
-    return outcome;
-  }
-}
-
 } // namespace ibisrock::adapters
--- a/src/adapters/http_caller.h
+++ b/src/adapters/http_caller.h
@@ -4,20 +4,13 @@
 #include "base/units.h"
 #include "base/verdict.h"
 
-#include <chrono>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
-
-namespace cxxtools::http {
-class Client;
-}
 
 namespace ibisrock::adapters {
 
-struct SocketAddress;
+class ConnectionPool;
 
 struct HttpCall
 {
@@ -29,25 +22,34 @@
   std::map<std::string, std::string> headers_;
   std::string body_;
   Micros timeout_ = Seconds(5);
-  /// Sends the request exactly once, on a new connection that is closed afterwards. On a connection that was open
-  /// before the request and that the peer closes without a reply, cxxtools sends the request a second time.
+  /// Uses a new connection, which is closed afterwards. A peer may close a kept connection while a request is on its
+  /// way; for requests that must not end in doubt for this reason. No request is ever sent twice, whatever this says.
   bool freshConnection_ = false;
-  /// Fresh connections to the address that may be open at the same time, this one included; 0 for no limit.
+  /// Connections to the address that may be open at the same time, idle ones included; 0 for no limit.
   uint32_t maxConnections_ = 0;
 };
 
+/// Compares names of headers without regard to case.
+struct HeaderNameLess
+{
+  bool operator()(const std::string& aLeft, const std::string& aRight) const;
+};
+
 /// Outcome of a call. status_ is valid only when verdict_ is Ran, which means that a complete reply was read.
 struct HttpOutcome
 {
   Verdict verdict_ = Verdict::NotRun;
   Reason reason_ = Reason::None;
   std::string error_;
+  /// The connection was kept from an earlier call and was lost without a byte of a reply.
+  bool lostKeptConnection_ = false;
   unsigned status_ = 0;
-  std::map<std::string, std::string> headers_;
+  std::map<std::string, std::string, HeaderNameLess> headers_;
   std::string body_;
 };
 
-/// Makes blocking HTTP calls and keeps connections open for the next call to the same address. Thread-safe.
+/// Makes blocking HTTP calls and keeps connections open for the next call to the same address. Sends each request at
+/// most once. The time-out holds for the whole call. Thread-safe.
 class HttpCaller
 {
 public:
@@ -57,26 +59,7 @@
   HttpOutcome Call(const HttpCall& aCall);
 
 private:
-  using ClientPtr = std::unique_ptr<cxxtools::http::Client>;
-
-  using Clock = std::chrono::steady_clock;
-  struct Idle
-  {
-    ClientPtr client_;
-    Clock::time_point since_;
-  };
-
-  HttpOutcome CallOnKept(const SocketAddress& aAddress, const HttpCall& aCall);
-  bool TakeConnection(const HttpCall& aCall);
-  void ReturnConnection(const std::string& aAddress);
-  void CloseUnused(Clock::time_point aNow);
-  ClientPtr TakeIdle(const std::string& aAddress);
-  void KeepIdle(const std::string& aAddress, ClientPtr aClient);
-
-  std::mutex mutex_;
-  std::map<std::string, std::vector<Idle>> idle_;
-  std::map<std::string, uint32_t> open_;
-  Clock::time_point lastSweep_;
+  std::unique_ptr<ConnectionPool> pool_;
 };
 
 } // namespace ibisrock::adapters
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/api_error.h"
 #include "adapters/listen_backlog.h"
+#include "adapters/peer_address.h"
 #include "adapters/socket_address.h"
 
 #include <algorithm>
@@ -114,6 +115,7 @@
   void beginRequest(cxxtools::net::TcpSocket& aSocket, std::istream& aIn, http::Request& aRequest) override
   {
     http::Responder::beginRequest(aSocket, aIn, aRequest);
+    peer_ = PeerAddress(aSocket);
     CheckHeaderSize(aRequest.header(), settings_.maxHeader_);
     CheckContentLength(aRequest.header(), settings_.maxBody_);
     dropsBody_ = aRequest.header().contentLength() > settings_.maxBody_;
@@ -144,7 +146,8 @@
                                [&aRequest](const char* aName) {
                                  const char* value = aRequest.getHeader(aName);
                                  return std::string(value == nullptr ? "" : value);
-                               } };
+                               },
+                               peer_ };
     HttpReply reply;
     try {
       reply = dropsBody_ ? BodyTooLarge(settings_.maxBody_) : handler_(request);
@@ -170,6 +173,7 @@
 private:
   const HttpServerSettings& settings_;
   const HttpHandler& handler_;
+  std::string peer_;
   bool dropsBody_ = false;
 };
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -23,6 +23,8 @@
   std::string body_;
   /// Value of a header, or an empty text. Header names are compared without regard to case.
   std::function<std::string(const char*)> header_;
+  /// "ip:port" of the peer of the connection; empty when there is none.
+  std::string peer_ = {};
 };
 
 struct HttpReply
--- a/src/adapters/http_target_client.cpp
+++ b/src/adapters/http_target_client.cpp
@@ -74,6 +74,7 @@
   TargetReply reply;
   reply.verdict_ = aOutcome.verdict_;
   reply.reason_ = aOutcome.reason_;
+  reply.lostKeptConnection_ = aOutcome.lostKeptConnection_;
   if (aOutcome.verdict_ == Verdict::Ran) {
     reply.state_ = StateFromText(HeaderOf(aOutcome, kTargetStateHeader));
     reply.boot_ = BootId(HeaderOf(aOutcome, kBootHeader));
@@ -133,8 +134,7 @@
                     { kIdempotentHeader, aAttempt.idempotent_ ? "yes" : "no" } };
   call.body_ = aAttempt.body_;
   call.timeout_ = aAttempt.budget_;
-  // Idempotent attempts too: a request that crashes its target must not be sent to it a second time.
-  call.freshConnection_ = true;
+  call.freshConnection_ = aAttempt.newConnection_;
   call.maxConnections_ = aAttempt.maxConnections_;
   return ToTargetReply(caller_.Call(call));
 }
@@ -170,7 +170,6 @@
     call.address_ = aAddress.Value();
     call.url_ = "/health";
     call.timeout_ = kProbeTimeout;
-    call.freshConnection_ = true;
     callback(DescribeTarget(caller_.Call(call)));
   });
 }
--- a/src/base/target_client.h
+++ b/src/base/target_client.h
@@ -43,8 +43,10 @@
   bool idempotent_ = true;
   /// Time that the target may use, passed on to it as a deadline.
   Micros budget_{};
-  /// Connections to the target that this instance may have open for attempts at the same time; 0 for no limit.
+  /// Connections to the target that this instance may have open at the same time, idle ones included; 0 for no limit.
   uint32_t maxConnections_ = 0;
+  /// Use no connection that was kept open, so that a lost connection can only be due to this attempt or its target.
+  bool newConnection_ = false;
 };
 
 /// Outcome of an attempt. verdict_ is Ran only when matches_ is complete for version_.
@@ -58,6 +60,9 @@
   std::vector<IndexVersion> held_;
   TargetState state_ = TargetState::Unknown;
   BootId boot_;
+  /// A connection that was kept from an earlier attempt was lost without a byte of a reply. The target may have closed
+  /// it for a reason that has nothing to do with this attempt.
+  bool lostKeptConnection_ = false;
 };
 
 /// Sends attempts to targets.
--- a/src/connection/replica_dispatcher.cpp
+++ b/src/connection/replica_dispatcher.cpp
@@ -12,6 +12,8 @@
 /// Connections lost within this time of each other count as one crash: the later attempt may have been sent to a
 /// process that was already failing, so it does not get the blame alone.
 constexpr Micros kLossWindow = Seconds(1);
+/// Reported as in flight at a loss that cannot be blamed on one attempt alone.
+constexpr uint32_t kSharedLoss = 2;
 /// Time between looks at the health endpoint of a leaving target, which gets no work that could show its new boot id.
 constexpr Micros kProbeInterval = Seconds(1);
 
@@ -192,7 +194,8 @@
                                request.body_,
                                request.idempotent_,
                                aWaiting.deadline_ - now,
-                               std::max(target_.connections_ / 2, 1U) };
+                               std::max(target_.connections_ / 2, 1U),
+                               request.alone_ || !request.idempotent_ };
   const Micros waited = now - aWaiting.arrived_;
   // Only the id, the callback and the canary mark are needed after the start; the body is not kept twice.
   aWaiting.request_.body_.clear();
@@ -215,6 +218,9 @@
     auto found = running_.find(reply.id_);
     if (aReply.reason_ == Reason::ConnectionLost) {
       reply.inFlightAtLoss_ = NoteLoss(found->second, now);
+      if (aReply.lostKeptConnection_) {
+        reply.inFlightAtLoss_ = std::max(reply.inFlightAtLoss_, kSharedLoss);
+      }
     } else if (aReply.verdict_ == Verdict::Ran) {
       const Micros took = now - found->second.started_;
       serviceTime_ = serviceTime_ == Micros::zero() ? took : serviceTime_ + (took - serviceTime_) / kServiceTimeShare;
@@ -242,7 +248,7 @@
 {
   const auto inFlight = static_cast<uint32_t>(running_.size());
   const bool afterOther = lastLoss_ && aNow - *lastLoss_ < kLossWindow;
-  const uint32_t counted = std::max({ inFlight, aLost.inFlightAtLoss_, afterOther ? 2U : 1U });
+  const uint32_t counted = std::max({ inFlight, aLost.inFlightAtLoss_, afterOther ? kSharedLoss : 1U });
   for (auto& [id, running] : running_) {
     running.inFlightAtLoss_ = std::max(running.inFlightAtLoss_, inFlight);
   }
--- a/src/standin/target_behaviour.h
+++ b/src/standin/target_behaviour.h
@@ -16,10 +16,9 @@
   /// Time that one request holds a slot.
   Micros serviceTime_ = Millis(2);
   unsigned slots_ = 2;
-  /// Requests handled at the same time, refused ones included; callers use one connection for each request. 0 for no
-  /// limit.
+  /// Requests handled at the same time, refused ones included; 0 for no limit. Idle connections do not count.
   unsigned connections_ = 0;
-  /// Added to each request, as the set-up of its connection.
+  /// Added to the first request of each connection, as its set-up.
   Micros connectTime_{};
   std::set<uint64_t> versions_ = { 1 };
   /// Shards that the target holds; empty for all.
--- a/src/standin/target_standin.cpp
+++ b/src/standin/target_standin.cpp
@@ -152,7 +152,9 @@
     return NotRun("overloaded", counters_.refusedConnection_);
   }
   connected_++;
-  changed_.wait_for(lock, behaviour_.connectTime_, [] { return false; });
+  if (IsNewPeer(aRequest.peer_)) {
+    changed_.wait_for(lock, behaviour_.connectTime_, [] { return false; });
+  }
   HttpReply reply = Admit(aShard, aRequest);
   if (reply.status_ == 200) {
     reply = RunSearch(lock, aShard, aRequest);
@@ -161,6 +163,17 @@
   return reply;
 }
 
+/// A port that the system gives to a later connection counts as the same peer until the set is cleared. Needs the lock.
+bool
+TargetStandin::IsNewPeer(const std::string& aPeer)
+{
+  constexpr size_t kMaxPeers = 1000;
+  if (peers_.size() >= kMaxPeers) {
+    peers_.clear();
+  }
+  return peers_.insert(aPeer).second;
+}
+
 /// Refuses what the target does not take; status 200 means that it may run. Needs the lock.
 HttpReply
 TargetStandin::Admit(const std::string& aShard, const HttpRequest& aRequest)
--- a/src/standin/target_standin.h
+++ b/src/standin/target_standin.h
@@ -51,6 +51,7 @@
   adapters::HttpReply Describe(adapters::HttpReply aReply, const std::string& aState) const;
   adapters::HttpReply Health();
   adapters::HttpReply Change(const std::string& aJson);
+  bool IsNewPeer(const std::string& aPeer);
   void Restart();
   std::string State() const;
   Micros WorkTime();
@@ -65,6 +66,8 @@
   std::string bootId_;
   Clock::time_point bootTime_;
   unsigned connected_ = 0;
+  /// Peers whose connection was set up.
+  std::set<std::string> peers_;
   unsigned running_ = 0;
   /// Attempts in flight that were not cancelled.
   std::set<std::string> attempts_;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -15,6 +15,7 @@
     EXPECT_GT(aAttempt.budget_, Micros::zero());
     EXPECT_EQ(aAttempt.maxConnections_, 12U);
     order_.push_back(aAttempt.id_.number_);
+    newConnection_[aAttempt.id_.number_] = aAttempt.newConnection_;
     running_[aAttempt.id_.number_] = std::move(aCallback);
   }
   void Cancel(const AttemptId& aId) override { cancelled_.push_back(aId.number_); }
@@ -35,6 +36,7 @@
 
   std::vector<uint32_t> order_;
   std::map<uint32_t, Callback> running_;
+  std::map<uint32_t, bool> newConnection_;
   std::vector<uint32_t> cancelled_;
   TargetReply health_;
   unsigned probes_ = 0;
@@ -312,5 +314,23 @@
   EXPECT_EQ(targets_.probes_, 4U);
 }
 
+// Guards against a query that is blocked as crash suspect because its target closed a kept connection, and against a
+// canary on such a connection, whose loss would prove nothing.
+TEST_F(Dispatcher, LossOfKeptConnectionIsNotBlamedOnTheAttemptAlone)
+{
+  TargetReply lost = kLost;
+  lost.lostKeptConnection_ = true;
+  Submit(1);
+  targets_.End(1, lost);
+  EXPECT_EQ(replies_[1].inFlightAtLoss_, 2U);
+  EXPECT_FALSE(targets_.newConnection_[1]);
+
+  timers_.Advance(Seconds(5));
+  Submit(2, Seconds(100), "a", true);
+  EXPECT_TRUE(targets_.newConnection_[2]);
+  targets_.End(2, kLost);
+  EXPECT_EQ(replies_[2].inFlightAtLoss_, 1U);
+}
+
 } // namespace
 } // namespace ibisrock
