Split the extra attempts out of query_run.cpp and the service state out of its table

Cause: query_run.cpp had grown to 405 lines, and a request included the table of all services for the state of one. No behaviour changes.

--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -13,11 +13,6 @@
 /// Connection losses after which a run starts no further attempts, because its query probably crashes targets. A canary
 /// that loses its connection is enough.
 constexpr size_t kMaxLosses = 2;
-/// Tokens that a hedge leaves in the budget unless its shard is long overdue. Without them, bursts of slightly slow
-/// shards empty the budget and stragglers wait unhedged.
-constexpr double kKeptTokens = 4;
-/// Age of a long overdue attempt, in hedge delays.
-constexpr double kOverdueFactor = 1.25;
 
 } // namespace
 
@@ -254,98 +249,6 @@
   }
 }
 
-/// Tries another replica of a shard without open attempts, or later when there is no token now. aFree needs no token.
-void
-QueryRun::Retry(const ShardName& aShard, bool aFree, Actions& aActions)
-{
-  ShardState& state = shards_.at(aShard);
-  state.retryWaits_ = false;
-  if (state.open_ > 0 || !MayStartAttempts() || Untried(aShard).empty()) {
-    return;
-  }
-  if (aFree || environment_.service_.budget_.TryTake()) {
-    StartAttempt(aShard, AttemptKind::Retry, aActions);
-  } else {
-    state.retryWaits_ = true;
-  }
-  ScheduleTick();
-}
-
-/// Subscribes to the time at which the next shard may need a hedge or a waiting retry. Does nothing while subscribed.
-void
-QueryRun::ScheduleTick()
-{
-  if (tickScheduled_ || !MayStartAttempts()) {
-    return;
-  }
-  const TimePoint now = environment_.timers_.Now();
-  const bool hedges = environment_.hedges_ && plan_.query_.idempotent_ && !canaryPending_;
-  std::optional<TimePoint> due;
-  for (const auto& [shard, state] : shards_) {
-    if (state.covered_ || (!state.retryWaits_ && (!hedges || state.hedged_ || state.open_ == 0))) {
-      continue;
-    }
-    TimePoint at = state.startedAt_ + hedgeDelay_;
-    // A hedge or retry that found no token is tried again after a part of the delay.
-    at = at <= now ? now + hedgeDelay_ / 4 : at;
-    due = std::min(due.value_or(at), at);
-  }
-  if (due && *due < deadline_) {
-    tickScheduled_ = true;
-    tickTimer_ = environment_.timers_.After(*due - now, [self = shared_from_this()] { self->OnTick(); });
-  }
-}
-
-/// Starts waiting retries and the hedges of shards that are slower than the tracked quantile.
-void
-QueryRun::OnTick()
-{
-  Actions actions;
-  {
-    std::lock_guard lock(mutex_);
-    tickScheduled_ = false;
-    const TimePoint now = environment_.timers_.Now();
-    const bool hedges = environment_.hedges_ && plan_.query_.idempotent_ && !canaryPending_;
-    for (auto& [shard, state] : shards_) {
-      if (!MayStartAttempts()) {
-        break;
-      }
-      if (state.covered_) {
-        continue;
-      }
-      if (state.retryWaits_) {
-        Retry(shard, false, actions);
-      } else if (hedges && state.open_ > 0 && !state.hedged_ && now - state.startedAt_ >= hedgeDelay_) {
-        Hedge(shard, actions);
-      }
-    }
-    ScheduleTick();
-    CheckFinished(actions);
-  }
-  Perform(actions);
-}
-
-/// Starts a second attempt of a slow shard if there is a replica and a token for it.
-void
-QueryRun::Hedge(const ShardName& aShard, Actions& aActions)
-{
-  ShardState& state = shards_.at(aShard);
-  if (Untried(aShard).empty()) {
-    state.hedged_ = true;
-    return;
-  }
-  const Micros age = environment_.timers_.Now() - state.startedAt_;
-  const bool overdue = age >= std::chrono::duration_cast<Micros>(kOverdueFactor * hedgeDelay_);
-  ExtraAttemptBudget& budget = environment_.service_.budget_;
-  if (!budget.TryTake(overdue ? 0 : kKeptTokens)) {
-    return;
-  }
-  state.hedged_ = true;
-  if (!StartAttempt(aShard, AttemptKind::Hedge, aActions)) {
-    budget.GiveBack();
-  }
-}
-
 void
 QueryRun::OnSoftDeadline()
 {
--- a/src/request/query_run.h
+++ b/src/request/query_run.h
@@ -3,7 +3,7 @@
 
 #include "base/random.h"
 #include "base/timer_service.h"
-#include "process/service_table.h"
+#include "process/service_state.h"
 #include "request/attempt_sender.h"
 #include "request/coverage_policy.h"
 #include "request/crash_observer.h"
@@ -123,6 +123,7 @@
   std::vector<TargetName> Untried(const ShardName& aShard) const;
   bool MayStartAttempts() const;
   bool MayRestart() const;
+  bool MayHedge() const;
   size_t Covered() const;
   void CheckFinished(Actions& aActions);
   void Finish(Actions& aActions);
