Try another replica without a token when one drains or lacks the version

Cause: when the index version changes, many replicas refuse first attempts because they do not hold the new one yet. Each retry took a token of the 5% budget, which ran empty, and the shards waited for tokens until the soft deadline. Change: a refusal for the state of one replica (VersionNotHeld, Draining) costs no token. The target does no work for it, and target states steer later attempts away, so that it stays rare.

--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -14,6 +14,17 @@
 /// that loses its connection is enough.
 constexpr size_t kMaxLosses = 2;
 
+/// Whether another replica can be tried without a token of the budget. A refusal for the state of one replica needs no
+/// work of it and is not a sign of overload; it steers later attempts away, so that it stays rare. With tokens for
+/// them, a change of index versions emptied the budget and shards waited until the soft deadline.
+bool
+IsFreeRefusal(const wire::SubReply& aReply)
+{
+  const Reason reason = aReply.reply_.reason_;
+  const bool replicaState = reason == Reason::VersionNotHeld || reason == Reason::Draining;
+  return aReply.reply_.verdict_ == Verdict::NotRun && (!aReply.touchedTarget_ || replicaState);
+}
+
 } // namespace
 
 std::shared_ptr<QueryRun>
@@ -241,7 +252,7 @@
   state.verdict_ = Combine(state.verdict_, reply.verdict_);
   state.versionLacking_ = state.versionLacking_ || state.lastReason_ == Reason::VersionNotHeld;
   if (reply.verdict_ == Verdict::NotRun || plan_.query_.idempotent_) {
-    Retry(aShard, reply.verdict_ == Verdict::NotRun && !aReply.touchedTarget_, aActions);
+    Retry(aShard, IsFreeRefusal(aReply), aActions);
   }
   if (state.versionLacking_ && state.open_ == 0 && Untried(aShard).empty() && MayRestart() && !restarting_) {
     restarting_ = true;
--- a/tests/query_run_test.cpp
+++ b/tests/query_run_test.cpp
@@ -323,6 +323,7 @@
 struct TokenCase
 {
   const char* name_;
+  Reason reason_;
   bool touched_;
   size_t attempts_;
 };
@@ -330,7 +331,8 @@
 class EmptyBudget : public testing::TestWithParam<TokenCase>
 {};
 
-// Guards against extra attempts beyond the budget, and against a token charged for a refusal that reached no target.
+// Guards against extra attempts beyond the budget, and against a token charged for a refusal that reached no target or
+// that is due to the state of one replica: a change of index versions then left shards uncovered.
 TEST_P(EmptyBudget, AllowsOnlyRetriesThatCostNoToken)
 {
   const TokenCase& param = GetParam();
@@ -338,7 +340,7 @@
   while (run.state_.budget_.TryTake()) {
   }
   run.Start();
-  run.sender_.Fail(0, Verdict::NotRun, Reason::Overloaded, param.touched_);
+  run.sender_.Fail(0, Verdict::NotRun, param.reason_, param.touched_);
   run.timers_.Advance(Millis(400));
   EXPECT_EQ(run.sender_.Sent().size(), param.attempts_);
   EXPECT_FALSE(run.answer_);
@@ -352,7 +354,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Refusals,
                          EmptyBudget,
-                         testing::Values(TokenCase{ "ByTarget", true, 1 }, TokenCase{ "ByOwner", false, 2 }),
+                         testing::Values(TokenCase{ "OverloadedTarget", Reason::Overloaded, true, 1 },
+                                         TokenCase{ "OverloadedOwner", Reason::Overloaded, false, 2 },
+                                         TokenCase{ "VersionNotHeld", Reason::VersionNotHeld, true, 2 },
+                                         TokenCase{ "Draining", Reason::Draining, true, 2 }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
 } // namespace
