Bypass an owner that does not answer after 100 ms

Cause: while an owner was killed, frozen or cut off, every attempt on its replicas went to it until membership declared it dead after about 4 s, and for ever from an instance that alone could not reach it. An instance cut off from all others had no way to the targets, although they were in reach. Change: PeerReachability pings a peer that has owed an answer for 50 ms; without an answer to the ping after 50 ms, attempts go to the next instance in the rendezvous order that answers, or leave from this instance. Answers alone count, so that a one-way cut is seen. Two instances that use one replica at once cost refusals for want of a slot, as before. Tests: silence with and without answers, slow targets, both directions of a cut; with a ping time-out of 50 s the four tests of silence and cuts fail. The refusals of an instance that is cut off are the price.

--- a/src/process/attempt_router.cpp
+++ b/src/process/attempt_router.cpp
@@ -9,6 +9,8 @@
 /// Time beyond the budget in which an owner's reply is still awaited, because an expired attempt is answered by the
 /// owner with a better reason than a time-out here.
 constexpr Micros kReplyGrace = Millis(20);
+/// Lines on silent owners in a period of the log.
+constexpr unsigned kLogLines = 3;
 
 wire::SubReply
 Failure(const AttemptId& aId, Verdict aVerdict, Reason aReason)
@@ -34,6 +36,11 @@
   , config_(aConfig)
   , dispatchers_(aDispatchers)
   , send_(std::move(aSend))
+  , reachability_(environment_.timers_,
+                  [this](const PeerAddress& aPeer) {
+                    send_(aPeer, wire::Ping{ 0, membership_.Self(), {} });
+                  })
+  , log_(environment_.timers_, environment_.logs_, "router", 1, kLogLines)
 {
 }
 
@@ -61,7 +68,7 @@
     return;
   }
   auto view = membership_.View();
-  const Member* owner = owners_.Find(view, target->name_, target->dataCentre_);
+  const Member* owner = ReachableOwner(*target, view);
   if (owner == nullptr || owner->id_ == self_.id_) {
     RunHere(*target, aRequest, std::move(aCallback));
   } else {
@@ -69,6 +76,28 @@
   }
 }
 
+/// The owner, or the next one in its place while it does not answer; this instance itself when no other one does. The
+/// owner may still be alive for others. Two instances that use a replica at once cost it refusals for want of a slot,
+/// which is less than its shard missing from every answer until the owner is declared dead.
+const Member*
+AttemptRouter::ReachableOwner(const TargetConfig& aTarget, const std::shared_ptr<const MemberView>& aView)
+{
+  const Member* owner = owners_.Find(aView, aTarget.name_, aTarget.dataCentre_);
+  if (owner == nullptr || owner->id_ == self_.id_ || reachability_.NoteSend(owner->address_)) {
+    return owner;
+  }
+  log_.Write(LogLevel::Warning, 0, [owner] {
+    return "instance " + owner->id_.Value() + " does not answer: its replicas are reached through others";
+  });
+  const Member* next = FindOwner(*aView, aTarget.name_, aTarget.dataCentre_, [this](const Member& aMember) {
+    return aMember.id_ == self_.id_ || !reachability_.IsSilent(aMember.address_);
+  });
+  if (next != nullptr && next->id_ != self_.id_) {
+    reachability_.NoteSend(next->address_);
+  }
+  return next;
+}
+
 void
 AttemptRouter::RunHere(const TargetConfig& aTarget, const wire::SubRequest& aRequest, Callback aCallback)
 {
--- a/src/process/attempt_router.h
+++ b/src/process/attempt_router.h
@@ -1,10 +1,12 @@
 #ifndef IBISROCK_PROCESS_ATTEMPT_ROUTER_H
 #define IBISROCK_PROCESS_ATTEMPT_ROUTER_H
 
+#include "process/component_log.h"
 #include "process/config_keeper.h"
 #include "process/dispatcher_table.h"
 #include "process/membership.h"
 #include "process/ownership.h"
+#include "process/peer_reachability.h"
 #include "request/attempt_sender.h"
 
 #include <array>
@@ -33,6 +35,8 @@
   void OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest, Micros aDelay);
   /// Hands the outcome of a forwarded attempt to its run. Late and repeated outcomes are dropped.
   void OnSubReply(const wire::SubReply& aReply);
+  /// A peer has answered a message of this instance.
+  void OnAnswer(const PeerAddress& aPeer) { reachability_.OnAnswer(aPeer); }
   void OnCancel(const wire::CancelAttempt& aCancel);
 
 private:
@@ -56,6 +60,7 @@
   void RunHere(const TargetConfig& aTarget, const wire::SubRequest& aRequest, Callback aCallback);
   void Forward(const PeerAddress& aOwner, const wire::SubRequest& aRequest, Callback aCallback);
   std::optional<Pending> Take(const AttemptId& aId);
+  const Member* ReachableOwner(const TargetConfig& aTarget, const std::shared_ptr<const MemberView>& aView);
 
   const InstanceIdentity self_;
   Environment environment_;
@@ -64,6 +69,8 @@
   DispatcherTable& dispatchers_;
   SendToPeer send_;
   OwnershipTable owners_;
+  PeerReachability reachability_;
+  ComponentLog log_;
   std::array<Shard, kShardCount> shards_;
 };
 
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -142,11 +142,17 @@
     peerClock_.Observe(envelope->from_, envelope->incarnation_, envelope->sentAt_, environment_.timers_.Now());
   std::visit(Overloaded{
                [&](const wire::SubRequest& aRequest) { OnSubRequest(*envelope, aRequest, delay); },
-               [&](const wire::SubReply& aReply) { router_.OnSubReply(aReply); },
+               [&](const wire::SubReply& aReply) {
+                 router_.OnAnswer(envelope->replyTo_);
+                 router_.OnSubReply(aReply);
+               },
                [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
                [&](const wire::Rumours& aRumours) { gossip_.OnRumours(aRumours); },
                [&](const wire::Ping& aPing) { prober_.OnPing(envelope->replyTo_, aPing); },
-               [&](const wire::Ack& aAck) { prober_.OnAck(aAck); },
+               [&](const wire::Ack& aAck) {
+                 router_.OnAnswer(envelope->replyTo_);
+                 prober_.OnAck(aAck);
+               },
                [&](const wire::PingRequest& aRequest) { prober_.OnPingRequest(envelope->replyTo_, aRequest); },
                [&](const wire::ConfigDigest& aDigest) { sync_.OnDigest(envelope->replyTo_, aDigest); },
                [&](const wire::ConfigFetch& aFetch) { sync_.OnFetch(envelope->replyTo_, aFetch); },
--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -4,15 +4,19 @@
 
 namespace ibisrock {
 
+namespace {
+
+/// aMayOwn is a template parameter, because the usual case calls it for each member of a large fleet.
+template<typename MayOwn>
 const Member*
-FindOwner(const MemberView& aView, const TargetName& aTarget, const DataCentre& aDataCentre)
+FindOwnerAmong(const MemberView& aView, const TargetName& aTarget, const DataCentre& aDataCentre, const MayOwn& aMayOwn)
 {
   const Member* owner = nullptr;
   bool ownerIsLocal = false;
   uint64_t ownerWeight = 0;
   for (const Member& member : aView.members_) {
     const bool isLocal = member.dataCentre_ == aDataCentre;
-    if (ownerIsLocal && !isLocal) {
+    if ((ownerIsLocal && !isLocal) || !aMayOwn(member)) {
       continue;
     }
     const uint64_t weight = RendezvousWeight(aTarget.Value(), member.id_.Value());
@@ -25,6 +29,23 @@
   return owner;
 }
 
+} // namespace
+
+const Member*
+FindOwner(const MemberView& aView, const TargetName& aTarget, const DataCentre& aDataCentre)
+{
+  return FindOwnerAmong(aView, aTarget, aDataCentre, [](const Member&) { return true; });
+}
+
+const Member*
+FindOwner(const MemberView& aView,
+          const TargetName& aTarget,
+          const DataCentre& aDataCentre,
+          const std::function<bool(const Member&)>& aMayOwn)
+{
+  return FindOwnerAmong(aView, aTarget, aDataCentre, aMayOwn);
+}
+
 const Member*
 OwnershipTable::Find(const std::shared_ptr<const MemberView>& aView,
                      const TargetName& aTarget,
--- a/src/process/ownership.h
+++ b/src/process/ownership.h
@@ -5,6 +5,7 @@
 #include "version/configuration.h"
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -16,6 +17,13 @@
 const Member*
 FindOwner(const MemberView& aView, const TargetName& aTarget, const DataCentre& aDataCentre);
 
+/// The same among the members for which aMayOwn is true.
+const Member*
+FindOwner(const MemberView& aView,
+          const TargetName& aTarget,
+          const DataCentre& aDataCentre,
+          const std::function<bool(const Member&)>& aMayOwn);
+
 /// Remembers the results of FindOwner for the newest member view, because a query asks for the owner of each of its
 /// attempts and the view seldom changes. Thread-safe.
 class OwnershipTable
--- /dev/null
+++ b/src/process/peer_reachability.cpp
@@ -0,0 +1,73 @@
+#include "process/peer_reachability.h"
+
+#include <utility>
+
+namespace ibisrock {
+
+namespace {
+
+/// A peer that owes an answer for so long is pinged. An attempt takes longer than a ping, so its age alone proves
+/// nothing.
+constexpr Micros kPingAfter = Millis(50);
+/// A peer that has not answered a ping for so long is silent. A round trip takes a few milliseconds; the rest is for an
+/// instance that is busy.
+constexpr Micros kPingTimeout = Millis(50);
+/// Time between pings to a peer that does not answer.
+constexpr Micros kPingInterval = Millis(50);
+
+} // namespace
+
+PeerReachability::PeerReachability(TimerService& aTimers, SendPing aSendPing)
+  : timers_(aTimers)
+  , sendPing_(std::move(aSendPing))
+{
+}
+
+bool
+PeerReachability::IsSilent(const Entry& aEntry, TimePoint aNow)
+{
+  return aEntry.firstPing_ && aNow - *aEntry.firstPing_ >= kPingTimeout;
+}
+
+bool
+PeerReachability::NoteSend(const PeerAddress& aPeer)
+{
+  bool ping = false;
+  bool silent = false;
+  {
+    Shard& shard = ShardOf(aPeer);
+    std::lock_guard lock(shard.mutex_);
+    const TimePoint now = timers_.Now();
+    Entry& entry = shard.entries_.try_emplace(aPeer, Entry{ now, std::nullopt, {} }).first->second;
+    silent = IsSilent(entry, now);
+    const bool first = !entry.firstPing_ && now - entry.waitingSince_ >= kPingAfter;
+    ping = first || (entry.firstPing_ && now - entry.lastPing_ >= kPingInterval);
+    if (ping) {
+      entry.firstPing_ = entry.firstPing_.value_or(now);
+      entry.lastPing_ = now;
+    }
+  }
+  if (ping) {
+    sendPing_(aPeer);
+  }
+  return !silent;
+}
+
+void
+PeerReachability::OnAnswer(const PeerAddress& aPeer)
+{
+  Shard& shard = ShardOf(aPeer);
+  std::lock_guard lock(shard.mutex_);
+  shard.entries_.erase(aPeer);
+}
+
+bool
+PeerReachability::IsSilent(const PeerAddress& aPeer) const
+{
+  const Shard& shard = ShardOf(aPeer);
+  std::lock_guard lock(shard.mutex_);
+  auto found = shard.entries_.find(aPeer);
+  return found != shard.entries_.end() && IsSilent(found->second, timers_.Now());
+}
+
+} // namespace ibisrock
