Hedge a shard again while its attempts do not answer

Cause: a shard was hedged at most once. When the first attempt never answered and the hedge failed, or never answered either, the shard stayed missing until the deadline, although a third replica could serve it. Found by the differential tests: replicas 3, one hung and one lost, or two hung. Change: a shard with an open attempt and an untried replica can be hedged again. The wait since the latest attempt doubles with each attempt that is still open, and every hedge still takes a token of the budget. Shards with two replicas behave as before, except that there is nothing left to hedge with. The flag that recorded the one hedge is gone.

--- a/src/request/query_run.cpp
+++ b/src/request/query_run.cpp
@@ -18,6 +18,8 @@
 constexpr double kKeptTokens = 4;
 /// Age of a long overdue attempt, in hedge delays.
 constexpr double kOverdueFactor = 1.25;
+/// Bounds the wait for a further hedge.
+constexpr uint32_t kMaxDoublings = 10;
 
 } // namespace
 
@@ -282,10 +284,10 @@
   const bool hedges = environment_.hedges_ && plan_.query_.idempotent_ && !canaryPending_;
   std::optional<TimePoint> due;
   for (const auto& [shard, state] : shards_) {
-    if (state.covered_ || (!state.retryWaits_ && (!hedges || state.hedged_ || state.open_ == 0))) {
+    if (state.covered_ || (!state.retryWaits_ && !(hedges && CanHedge(shard)))) {
       continue;
     }
-    TimePoint at = state.startedAt_ + hedgeDelay_;
+    TimePoint at = state.startedAt_ + HedgeWait(state);
     // A hedge or retry that found no token is tried again after a part of the delay.
     at = at <= now ? now + hedgeDelay_ / 4 : at;
     due = std::min(due.value_or(at), at);
@@ -315,7 +317,7 @@
       }
       if (state.retryWaits_) {
         Retry(shard, false, actions);
-      } else if (hedges && state.open_ > 0 && !state.hedged_ && now - state.startedAt_ >= hedgeDelay_) {
+      } else if (hedges && CanHedge(shard) && now - state.startedAt_ >= HedgeWait(state)) {
         Hedge(shard, actions);
       }
     }
@@ -325,22 +327,32 @@
   Perform(actions);
 }
 
-/// Starts a second attempt of a slow shard if there is a replica and a token for it.
+/// True when a shard has an open attempt and a replica that was not tried.
+bool
+QueryRun::CanHedge(const ShardName& aShard) const
+{
+  return shards_.at(aShard).open_ > 0 && !Untried(aShard).empty();
+}
+
+/// Time from the latest attempt of a shard to its next hedge. It doubles with each attempt that is open, because a
+/// shard that is slow on several replicas is probably slow on all of them.
+Micros
+QueryRun::HedgeWait(const ShardState& aState) const
+{
+  return hedgeDelay_ * (1U << std::min(std::max(aState.open_, 1U) - 1, kMaxDoublings));
+}
+
+/// Starts a further attempt of a slow shard if there is a token for it.
 void
 QueryRun::Hedge(const ShardName& aShard, Actions& aActions)
 {
-  ShardState& state = shards_.at(aShard);
-  if (Untried(aShard).empty()) {
-    state.hedged_ = true;
-    return;
-  }
+  const ShardState& state = shards_.at(aShard);
   const Micros age = environment_.timers_.Now() - state.startedAt_;
-  const bool overdue = age >= std::chrono::duration_cast<Micros>(kOverdueFactor * hedgeDelay_);
+  const bool overdue = age >= std::chrono::duration_cast<Micros>(kOverdueFactor * HedgeWait(state));
   ExtraAttemptBudget& budget = environment_.service_.budget_;
   if (!budget.TryTake(overdue ? 0 : kKeptTokens)) {
     return;
   }
-  state.hedged_ = true;
   if (!StartAttempt(aShard, AttemptKind::Hedge, aActions)) {
     budget.GiveBack();
   }
--- a/src/request/query_run.h
+++ b/src/request/query_run.h
@@ -60,7 +60,6 @@
   {
     bool started_ = false;
     bool covered_ = false;
-    bool hedged_ = false;
     /// A retry is due as soon as the budget has a token.
     bool retryWaits_ = false;
     /// At least one replica refused because it does not hold the version.
@@ -120,6 +119,8 @@
   void Retry(const ShardName& aShard, bool aFree, Actions& aActions);
   void Hedge(const ShardName& aShard, Actions& aActions);
   void ReportToSelector(const AttemptState& aAttempt, const TargetReply& aReply);
+  bool CanHedge(const ShardName& aShard) const;
+  Micros HedgeWait(const ShardState& aState) const;
   std::vector<TargetName> Untried(const ShardName& aShard) const;
   bool MayStartAttempts() const;
   bool MayRestart() const;
--- a/tests/query_run_test.cpp
+++ b/tests/query_run_test.cpp
@@ -138,6 +138,41 @@
   EXPECT_EQ(run.state_.counters_.cancelled_, 1U);
 }
 
+// Guards against a shard that stays missing because its hedge failed while the straggler never answers, although a
+// third replica could serve it.
+TEST(QueryRun, HedgesAgainAfterAFailedHedge)
+{
+  ScriptedRun run(1, 3);
+  run.Start();
+  run.timers_.Advance(Millis(200));
+  ASSERT_EQ(run.sender_.Sent().size(), 2U);
+  run.sender_.Fail(1, Verdict::NotRun, Reason::ConnectFailed);
+  run.timers_.Advance(Millis(200));
+  ASSERT_EQ(run.sender_.Sent().size(), 3U);
+  run.sender_.Succeed(2);
+  ASSERT_TRUE(run.answer_);
+  EXPECT_EQ(run.answer_->covered_.size(), 1U);
+  EXPECT_EQ(run.sender_.Cancelled(), std::vector<uint32_t>{ 0 });
+}
+
+// Guards against a shard that stays missing because two replicas never answer, although a third could serve it, and
+// against further hedges that start as early as the first.
+TEST(QueryRun, HedgesAHedgeThatIsSlowToo)
+{
+  ScriptedRun run(1, 3);
+  run.Start();
+  run.timers_.Advance(Millis(100));
+  ASSERT_EQ(run.sender_.Sent().size(), 2U);
+  run.timers_.Advance(Millis(150));
+  EXPECT_EQ(run.sender_.Sent().size(), 2U);
+  run.timers_.Advance(Millis(150));
+  ASSERT_EQ(run.sender_.Sent().size(), 3U);
+  run.sender_.Succeed(2);
+  ASSERT_TRUE(run.answer_);
+  EXPECT_EQ(run.answer_->covered_.size(), 1U);
+  EXPECT_EQ(run.sender_.Cancelled(), (std::vector<uint32_t>{ 0, 1 }));
+}
+
 // Guards against a second run of a non-idempotent query by a hedge (P5).
 TEST(QueryRun, NeverHedgesANonIdempotentQuery)
 {
