Show admission and silent peers in the state dump

Cause: an operator could see neither how many queries of a service an instance may run now nor which instances do not answer it, so that refusals for overload and attempts that bypass an owner could not be explained from outside. Change: the dump has silent_peers, and for each service admission with in_flight, limit and overloaded.

--- a/src/process/attempt_router.h
+++ b/src/process/attempt_router.h
@@ -35,6 +35,7 @@
   void OnSubRequest(const PeerAddress& aFrom, const wire::SubRequest& aRequest, Micros aDelay);
   /// Hands the outcome of a forwarded attempt to its run. Late and repeated outcomes are dropped.
   void OnSubReply(const wire::SubReply& aReply);
+  std::vector<PeerAddress> SilentPeers() const { return reachability_.SilentPeers(); }
   /// A peer has answered a message of this instance.
   void OnAnswer(const PeerAddress& aPeer) { reachability_.OnAnswer(aPeer); }
   void OnCancel(const wire::CancelAttempt& aCancel);
--- a/src/process/peer_reachability.cpp
+++ b/src/process/peer_reachability.cpp
@@ -70,4 +70,20 @@
   return found != shard.entries_.end() && IsSilent(found->second, timers_.Now());
 }
 
+std::vector<PeerAddress>
+PeerReachability::SilentPeers() const
+{
+  std::vector<PeerAddress> silent;
+  const TimePoint now = timers_.Now();
+  for (const Shard& shard : shards_) {
+    std::lock_guard lock(shard.mutex_);
+    for (const auto& [peer, entry] : shard.entries_) {
+      if (IsSilent(entry, now)) {
+        silent.push_back(peer);
+      }
+    }
+  }
+  return silent;
+}
+
 } // namespace ibisrock
--- a/src/process/peer_reachability.h
+++ b/src/process/peer_reachability.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace ibisrock {
 
@@ -29,6 +30,7 @@
   bool NoteSend(const PeerAddress& aPeer);
   void OnAnswer(const PeerAddress& aPeer);
   bool IsSilent(const PeerAddress& aPeer) const;
+  std::vector<PeerAddress> SilentPeers() const;
 
 private:
   /// Kept only while an answer is due.
--- a/src/process/state_dump.cpp
+++ b/src/process/state_dump.cpp
@@ -91,11 +91,15 @@
   return versions;
 }
 
+/// What was counted for each service that was queried here, and what it may run now.
 json
-DescribeRuns(const ServiceTable& aServices)
+DescribeRuns(const ServiceTable& aServices, const Admission& aAdmission)
 {
   json services = json::object();
   for (const auto& [name, counters] : aServices.Counters()) {
+    services[name.Value()]["admission"] = { { "in_flight", aAdmission.InFlight(name) },
+                                            { "limit", aAdmission.LimitOf(name) },
+                                            { "overloaded", aAdmission.IsOverloaded(name) } };
     for (const RunCounterField& field : kRunCounterFields) {
       services[name.Value()][field.name_] = (counters->*field.value_).load();
     }
@@ -103,6 +107,17 @@
   return services;
 }
 
+/// Addresses of the instances that do not answer this one.
+json
+DescribeSilentPeers(const AttemptRouter& aRouter)
+{
+  json peers = json::array();
+  for (const PeerAddress& peer : aRouter.SilentPeers()) {
+    peers.push_back(peer.Value());
+  }
+  return peers;
+}
+
 } // namespace
 
 std::string
@@ -132,7 +147,8 @@
     { "members", DescribeMembers(membership_) },
     { "replicas", DescribeReplicas(self_.id_, *membership_.View(), configuration.get(), dispatchers_) },
     { "crash_guard_entries", crashGuard_.Size() },
-    { "services", DescribeRuns(services_) }
+    { "silent_peers", DescribeSilentPeers(router_) },
+    { "services", DescribeRuns(services_, coordinator_.Limits()) }
   }.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
--- a/tests/peer_reachability_test.cpp
+++ b/tests/peer_reachability_test.cpp
@@ -59,6 +59,7 @@
   SendFor(Millis(300));
   EXPECT_EQ(lastResult_, !GetParam().isSilent_);
   EXPECT_EQ(peers_.IsSilent(kPeer), GetParam().isSilent_);
+  EXPECT_EQ(peers_.SilentPeers().size(), GetParam().isSilent_ ? 1U : 0U);
   EXPECT_EQ(pings_ == 0, answersAttempts_);
   EXPECT_LE(pings_, 6U);
 
