Count what the control messages of a fleet at rest consist of

Cause: docs/CAPACITY.md says that a tenth of the messages was lost when one instance at rest sent 550 and 1,348 bytes/s with 7 and 50 instances. In config_spread the loss begins with the first change, after that measurement.

Conclusion: the recorded growth is the first spreading of the targets' boots and versions after a start, not loss.

--- a/bench/config_spread.cpp
+++ b/bench/config_spread.cpp
@@ -1,3 +1,4 @@
+#include "control_report.h"
 #include "fakes/fake_cluster.h"
 #include "version/apply.h"
 #include "version/manifest.h"
@@ -196,26 +197,47 @@
               Quantile(bytes, 1));
 }
 
+/// Counts what an instance at rest sends: first without loss, from soon after the start, then with a tenth lost.
+void
+MeasureRest(FakeCluster& aCluster, fakes::ControlCounter& aCounter)
+{
+  constexpr Seconds kPart{ 30 };
+  for (unsigned part = 0; part < 4; part++) {
+    aCounter.Reset();
+    aCluster.timers_.Advance(kPart);
+    std::printf(" at rest without loss, part %u of 30 s\n", part + 1);
+    PrintControlReport(aCounter, aCluster.Size(), kPart);
+  }
+  aCluster.network_.SetLoss(0.1);
+  aCluster.timers_.Advance(kPart);
+  aCounter.Reset();
+  aCluster.timers_.Advance(2 * kPart);
+  std::printf(" at rest with 10%% of the messages lost\n");
+  PrintControlReport(aCounter, aCluster.Size(), 2 * kPart);
+  aCluster.network_.SetLoss(0);
+  aCluster.timers_.Advance(kPart);
+}
+
 void
 Measure(unsigned aInstances)
 {
   ClusterShape shape;
   shape.instances_ = aInstances;
+  fakes::ControlCounter counter;
   FakeCluster cluster(shape, kSeed);
+  cluster.network_.SetObserver([&counter](std::string_view aBytes) { counter.OnMessage(aBytes); });
   cluster.Start();
   std::vector<unsigned> limits(kServices, 1);
   Apply(cluster, SheetText(cluster, limits), "base");
   cluster.timers_.Advance(kInterval);
 
   const uint64_t idleCalls = TotalCalls(cluster);
-  const uint64_t idleBytes = cluster.network_.BytesSent();
-  constexpr unsigned kIdleMinutes = 2;
-  cluster.timers_.Advance(Seconds(60 * kIdleMinutes));
-  const double perInstance = 1.0 / (aInstances * kIdleMinutes);
-  std::printf("%u instances; idle, per instance: %.1f store calls a minute, %.0f bytes a second\n",
-              aInstances,
-              static_cast<double>(TotalCalls(cluster) - idleCalls) * perInstance,
-              static_cast<double>(cluster.network_.BytesSent() - idleBytes) * perInstance / 60);
+  const TimePoint idleSince = cluster.timers_.Now();
+  std::printf("%u instances\n", aInstances);
+  MeasureRest(cluster, counter);
+  const std::chrono::duration<double, std::ratio<60>> idle = cluster.timers_.Now() - idleSince;
+  std::printf(" at rest, per instance: %.1f store calls a minute\n",
+              static_cast<double>(TotalCalls(cluster) - idleCalls) / (aInstances * idle.count()));
 
   std::vector<Sample> samples;
   for (unsigned change = 0; change < kChanges; change++) {
--- a/src/fakes/fake_fleet.cpp
+++ b/src/fakes/fake_fleet.cpp
@@ -111,14 +111,34 @@
   nodes_[aIndex]->prober_.Start();
 }
 
-bool
-FakeFleet::Start(Micros aLimit)
+void
+FakeFleet::ListAll()
 {
   std::vector<ListedInstance> listed;
   for (size_t index = 0; index < Size(); index++) {
     listed.push_back(Listed(index));
   }
   list_.Set(std::move(listed));
+}
+
+void
+FakeFleet::StartJoined()
+{
+  for (size_t index = 0; index < Size(); index++) {
+    Launch(index);
+  }
+  for (const auto& observer : nodes_) {
+    for (const auto& subject : nodes_) {
+      observer->membership_.Merge(subject->membership_.Self());
+    }
+  }
+  ListAll();
+}
+
+bool
+FakeFleet::Start(Micros aLimit)
+{
+  ListAll();
   for (size_t index = 0; index < Size(); index++) {
     Launch(index);
   }
--- a/src/fakes/fake_fleet.h
+++ b/src/fakes/fake_fleet.h
@@ -51,6 +51,8 @@
 
   /// Lists and starts all nodes, and advances until each sees all or aLimit has passed.
   bool Start(Micros aLimit);
+  /// Starts all nodes with full knowledge of each other, so that no updates about joins are left to spread.
+  void StartJoined();
   /// Starts a new process in a node's place, with the same id and address and a later incarnation.
   void Launch(size_t aIndex);
   /// Ends a node at once, as a crash does.
@@ -77,6 +79,8 @@
   FakeInstanceList list_;
 
 private:
+  void ListAll();
+
   FakeTransport unusedTransport_;
   const unsigned dataCentres_;
   std::vector<std::unique_ptr<FleetNode>> nodes_;
--- a/src/fakes/fake_network.cpp
+++ b/src/fakes/fake_network.cpp
@@ -66,9 +66,18 @@
   lossInterval_ = aInterval;
 }
 
+void
+FakeNetwork::SetObserver(Receiver aObserver)
+{
+  observer_ = std::move(aObserver);
+}
+
 bool
 FakeNetwork::Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes)
 {
+  if (observer_) {
+    observer_(aBytes);
+  }
   std::lock_guard lock(mutex_);
   if (!receivers_.contains(aTo)) {
     return false;
--- a/src/fakes/fake_network.h
+++ b/src/fakes/fake_network.h
@@ -39,6 +39,8 @@
   void SetLoss(double aShare);
   /// Every message whose number is a multiple of aInterval is lost without notice; 0 loses none.
   void SetLossInterval(uint64_t aInterval);
+  /// Called for every message sent, also for one that is lost. Not thread-safe: to be called before the first message.
+  void SetObserver(Receiver aObserver);
 
   bool Send(const PeerAddress& aFrom, const PeerAddress& aTo, std::string aBytes);
   uint64_t MessagesSent() const;
@@ -56,6 +58,7 @@
   std::set<std::pair<PeerAddress, PeerAddress>> cuts_;
   std::map<PeerAddress, std::vector<std::string>> frozen_;
   uint64_t lossInterval_ = 0;
+  Receiver observer_;
   uint64_t messages_ = 0;
   uint64_t bytes_ = 0;
 };
