--- a/src/process/prober.cpp
+++ b/src/process/prober.cpp
@@ -202,8 +202,8 @@
   }
 }
 
-/// Tells the instances that this one suspects first hand, so that they can refute it. Gossip needs about 2 s to reach
-/// one of 1,000 instances and as long to bring the refutation back, which is more than the time that a suspect has.
+/// Tells the instances that this one suspects first hand, so that they can refute it. By gossip alone the refutation
+/// comes too late: 4 of 10 suspicions of living instances became deaths with 200 instances and no loss.
 void
 Prober::PingAccused()
 {
