--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -49,8 +49,21 @@
   return Micros(static_cast<Micros::rep>(factor * static_cast<double>(aTarget.serviceTime_.count())));
 }
 
+std::vector<Match>
+DefaultSearch(IndexVersion aVersion, const ShardName& aShard, const std::string& aBody)
+{
+  return { { aShard.Value() + "/" + aBody, std::to_string(aVersion.Value()) } };
+}
+
 } // namespace
 
+FakeTargets::FakeTargets(TimerService& aTimers, Random& aRandom)
+  : timers_(aTimers)
+  , random_(aRandom)
+  , search_(DefaultSearch)
+{
+}
+
 void
 FakeTargets::Set(const TargetName& aName, const FakeTarget& aTarget)
 {
@@ -58,6 +71,13 @@
   targets_[aName] = aTarget;
 }
 
+void
+FakeTargets::SetSearch(ShardSearch aSearch)
+{
+  std::lock_guard lock(mutex_);
+  search_ = std::move(aSearch);
+}
+
 FakeTarget
 FakeTargets::Get(const TargetName& aName) const
 {
@@ -196,8 +216,7 @@
       reply = DescribeTarget(targets_[aAttempt.target_], aAttempt.target_);
       reply.verdict_ = Verdict::Ran;
       reply.version_ = aAttempt.version_;
-      reply.matches_ = { { aAttempt.shard_.Value() + "/" + aAttempt.body_,
-                           std::to_string(aAttempt.version_.Value()) } };
+      reply.matches_ = search_(aAttempt.version_, aAttempt.shard_, aAttempt.body_);
     }
   }
   callback(std::move(reply));
--- a/src/fakes/fake_targets.h
+++ b/src/fakes/fake_targets.h
@@ -5,6 +5,7 @@
 #include "base/target_client.h"
 #include "base/timer_service.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -54,15 +55,14 @@
   TimePoint startedAt_;
 };
 
+/// Matches of a query body in one shard of an index version.
+using ShardSearch = std::function<std::vector<Match>(IndexVersion, const ShardName&, const std::string&)>;
+
 /// All targets of a test, in memory, on a timer service. Each request that a target runs is recorded.
 class FakeTargets final : public TargetClient
 {
 public:
-  FakeTargets(TimerService& aTimers, Random& aRandom)
-    : timers_(aTimers)
-    , random_(aRandom)
-  {
-  }
+  FakeTargets(TimerService& aTimers, Random& aRandom);
 
   void Start(const TargetAttempt& aAttempt, Callback aCallback) override;
   void Cancel(const AttemptId& aId) override;
@@ -71,6 +71,8 @@
   /// Adds a target or replaces its behaviour. Requests in flight go on.
   void Set(const TargetName& aName, const FakeTarget& aTarget);
   FakeTarget Get(const TargetName& aName) const;
+  /// Replaces the default of one match for each shard, which names the shard, the body and the version.
+  void SetSearch(ShardSearch aSearch);
   /// Stops a target: each request in flight loses its connection, and new connections fail until it is set up again.
   void Crash(const TargetName& aName);
   std::vector<TargetRun> Runs() const;
@@ -99,6 +101,7 @@
   Random& random_;
   mutable std::mutex mutex_;
   std::map<TargetName, FakeTarget> targets_;
+  ShardSearch search_;
   std::map<AttemptId, Running> running_;
   std::map<TargetName, unsigned> connected_;
   std::map<TargetName, unsigned> peakConnected_;
