Let tests listen on free ports

Two test runs on one machine failed each other: the tests of the command line, the target client, the object store and the target stand-in listened on fixed ports, and the sheet of the command-line tests had a fixed file name.

They now bind port 0 just before they listen (tests/free_port.h). The address where nobody listens is a port that stays bound without listening, so that no other process can take it. The sheet file carries the process id.

--- a/tests/caller_api_test.cpp
+++ b/tests/caller_api_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/caller_api.h"
 #include "fakes/fake_cluster.h"
+#include "free_port.h"
 #include "raw_connection.h"
 
 #include <gtest/gtest.h>
@@ -8,10 +9,6 @@
 namespace ibisrock::adapters {
 namespace {
 
-/// The API takes the first free port of these, because other processes on the machine may use some.
-constexpr uint16_t kFirstPort = 17931;
-constexpr uint16_t kLastPort = 17999;
-
 HttpRequest
 MakeRequest(std::map<std::string, std::string> aHeaders)
 {
@@ -121,14 +118,12 @@
     settings.maxBody_ = 1000;
     settings.maxHeader_ = 500;
     settings.readTimeout_ = Millis(300);
-    for (port_ = kFirstPort; port_ <= kLastPort; port_++) {
-      settings.address_ = "127.0.0.1:" + std::to_string(port_);
-      if (auto created = HttpServer::Create(settings, MakeCallerApi(Node()), reason)) {
-        server_ = std::move(*created);
-        break;
-      }
+    settings.address_ = "127.0.0.1:" + std::to_string(port_);
+    auto created = HttpServer::Create(settings, MakeCallerApi(Node()), reason);
+    EXPECT_TRUE(created) << reason.Text();
+    if (created) {
+      server_ = std::move(*created);
     }
-    EXPECT_TRUE(server_) << reason.Text();
   }
 
   Instance& Node() { return cluster_.At(0); }
@@ -143,7 +138,7 @@
   }
 
 private:
-  uint16_t port_ = 0;
+  const uint16_t port_ = FreePort();
   fakes::FakeCluster cluster_;
   std::unique_ptr<HttpServer> server_;
 };
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -2,6 +2,7 @@
 #include "cli/command_line.h"
 #include "cli/instance_status.h"
 #include "fakes/fake_cluster.h"
+#include "free_port.h"
 #include "standin/platform_standin.h"
 
 #include <filesystem>
@@ -9,14 +10,14 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <unistd.h>
 
 namespace ibisrock::cli {
 namespace {
 
-constexpr const char* kPlatform = "127.0.0.1:17941";
-constexpr const char* kInstance = "127.0.0.1:17942";
 /// No process listens here.
-constexpr const char* kNobody = "127.0.0.1:17943";
+const ReservedPort kReserved;
+const std::string kNobody = kReserved.Address();
 
 constexpr const char* kDockdesk = "service,dockdesk,latency,1000,300,2000,64,1\n"
                                   "shard,dockdesk,s00\n"
@@ -42,7 +43,7 @@
 }
 
 std::unique_ptr<adapters::HttpServer>
-Listen(const char* aAddress, adapters::HttpHandler aHandler)
+Listen(const std::string& aAddress, adapters::HttpHandler aHandler)
 {
   LastReason reason;
   auto server = adapters::HttpServer::Create({ .address_ = aAddress }, std::move(aHandler), reason);
@@ -55,7 +56,7 @@
 {
 public:
   explicit SheetOnDisk(const std::string& aText)
-    : path_(testing::TempDir() + "ibisrock_cli_test.csv")
+    : path_(testing::TempDir() + "ibisrock_cli_test_" + std::to_string(getpid()) + ".csv")
   {
     std::ofstream(path_) << aText;
   }
@@ -104,7 +105,7 @@
     UsageCase{ "Instances", { "status", "--instances", "127.0.0.1:1,x" }, ExitCode::BadInput, "\"x\" is not an IPv4" },
     UsageCase{ "NoInstances", { "status", "--instances=" }, ExitCode::BadInput, "\"\" is not an IPv4" },
     UsageCase{ "DumpAddress", { "dump", "--instance", "127.0.0.1:0" }, ExitCode::BadInput, "is not an IPv4" },
-    UsageCase{ "DumpNobody", { "dump", "--instance", kNobody }, ExitCode::Failed, kNobody },
+    UsageCase{ "DumpNobody", { "dump", "--instance", kNobody }, ExitCode::Failed, kNobody.c_str() },
     UsageCase{ "QueryNobody", { "query", "s", "b", "--instance", kNobody }, ExitCode::Failed, "not-run" },
     UsageCase{ "Service", { "query", "a/b", "b", "--instance", kNobody }, ExitCode::BadInput, "service name \"a/b\"" },
     UsageCase{ "Deadline",
@@ -158,16 +159,17 @@
   nlohmann::json Apply(const std::string& aSheet, List aOptions, ExitCode aCode)
   {
     const SheetOnDisk sheet(aSheet);
-    List arguments = { "apply", sheet.path_, "--platform", kPlatform, "--json" };
+    List arguments = { "apply", sheet.path_, "--platform", address_, "--json" };
     arguments.insert(arguments.end(), aOptions.begin(), aOptions.end());
     const Output output = RunTool(arguments);
     EXPECT_EQ(output.code_, aCode) << output.out_ << output.err_;
     return nlohmann::json::parse(output.out_, nullptr, false);
   }
 
+  const std::string address_ = FreeAddress();
   standin::PlatformStandin platform_;
   std::unique_ptr<adapters::HttpServer> server_ =
-    Listen(kPlatform, [this](const auto& aRequest) { return platform_.Handle(aRequest); });
+    Listen(address_, [this](const auto& aRequest) { return platform_.Handle(aRequest); });
 };
 
 // Guards against an outcome that is told wrongly, and against a dry run that tells another one than apply.
@@ -242,9 +244,11 @@
 // Guards against a status that calls the configuration in force where it is not.
 TEST_P(CliStatus, ComparesInstancesWithStore)
 {
+  const std::string platformAddress = FreeAddress();
   standin::PlatformStandin platform;
-  const auto server = Listen(kPlatform, [&](const auto& aRequest) { return platform.Handle(aRequest); });
-  const auto instance = Listen(kInstance, [](const adapters::HttpRequest& aRequest) {
+  const auto server = Listen(platformAddress, [&](const auto& aRequest) { return platform.Handle(aRequest); });
+  const std::string instanceAddress = FreeAddress();
+  const auto instance = Listen(instanceAddress, [](const adapters::HttpRequest& aRequest) {
     return adapters::HttpReply{
       aRequest.path_ == "/debug/state" ? 200U : 404U, "application/json", {}, GetParam().state_
     };
@@ -253,11 +257,12 @@
     platform.Handle({ "PUT", aPath, "", aBody, [](const char*) { return std::string(); } });
   };
   const SheetOnDisk sheet(kDockdesk);
-  RunTool({ "apply", sheet.path_, "--platform", kPlatform });
-  put("/instances", R"([{"id":"entry-0","http_address":"127.0.0.1:17942"},{"id":"entry-1","leaving":true}])");
+  RunTool({ "apply", sheet.path_, "--platform", platformAddress });
+  put("/instances",
+      R"([{"id":"entry-0","http_address":")" + instanceAddress + R"("},{"id":"entry-1","leaving":true}])");
   put("/admin", GetParam().admin_);
-  for (const List& source :
-       { List{ "--platform", kPlatform, "--instances", kInstance }, List{ "--platform", kPlatform } }) {
+  for (const List& source : { List{ "--platform", platformAddress, "--instances", instanceAddress },
+                              List{ "--platform", platformAddress } }) {
     List arguments = { "status" };
     arguments.insert(arguments.end(), source.begin(), source.end());
     const Output output = RunTool(arguments);
@@ -304,7 +309,7 @@
 TEST(CliStatusList, KeepsInstancesThatCannotBeAsked)
 {
   LastReason reason;
-  const auto listed = ParseAddressList(R"([{"id":"a"},{"id":"b","http_address":"127.0.0.1:17943"}])", reason);
+  const auto listed = ParseAddressList(R"([{"id":"a"},{"id":"b","http_address":")" + kNobody + R"("}])", reason);
   ASSERT_TRUE(listed) << reason.Text();
   const auto statuses = AskInstances(*listed);
   ASSERT_EQ(statuses.size(), 2U);
@@ -329,7 +334,8 @@
 TEST_P(CliQuery, SendsOptionsAndKeepsTheVerdict)
 {
   std::map<std::string, std::string> seen;
-  const auto instance = Listen(kInstance, [&](const adapters::HttpRequest& aRequest) {
+  const std::string instanceAddress = FreeAddress();
+  const auto instance = Listen(instanceAddress, [&](const adapters::HttpRequest& aRequest) {
     for (const char* name :
          { "Ibisrock-Caller", "Ibisrock-Idempotent", "Idempotency-Key", "Ibisrock-Deadline-Ms", "Ibisrock-Coverage" }) {
       seen[name] = aRequest.header_(name);
@@ -341,7 +347,7 @@
                                   "dockdesk",
                                   "paddler 7",
                                   "--instance",
-                                  kInstance,
+                                  instanceAddress,
                                   "--caller",
                                   "jetty",
                                   "--non-idempotent",
--- a/tests/object_store_test.cpp
+++ b/tests/object_store_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http_object_store.h"
+#include "free_port.h"
 #include "raw_target.h"
 
 #include <future>
@@ -7,7 +8,6 @@
 namespace ibisrock::adapters {
 namespace {
 
-constexpr unsigned short kPort = 18961;
 const std::string kWritten = "HTTP/1.1 200 OK\r\nRevision: 7\r\nContent-Length: 0\r\n\r\n";
 
 /// Keeps the connection open after the reply, and closes it without a reply to a second request.
@@ -48,8 +48,9 @@
 // one conflicts with the first, and the writer is told that its own write was another's.
 TEST_P(PutOnSocket, IsSentOnce)
 {
-  RawTarget target(kPort, GetParam().script_);
-  HttpObjectStore store("127.0.0.1:" + std::to_string(kPort));
+  const uint16_t port = FreePort();
+  RawTarget target(port, GetParam().script_);
+  HttpObjectStore store("127.0.0.1:" + std::to_string(port));
   for (unsigned count = 1; count <= 3; count++) {
     EXPECT_EQ(Put(store).outcome_, GetParam().outcome_);
     EXPECT_EQ(target.Seen(), count);
--- a/tests/target_client_test.cpp
+++ b/tests/target_client_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_target_client.h"
 #include "adapters/target_protocol.h"
+#include "free_port.h"
 #include "raw_target.h"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 namespace ibisrock::adapters {
 namespace {
 
-constexpr unsigned short kPort = 18951;
-
 /// The raw target closes the connection after its script, so each reply says so.
 std::string
 Reply(const std::string& aStatus, const std::string& aBody, size_t aLength)
@@ -113,10 +112,11 @@
 TEST_P(TargetOnSocket, IsSentEachAttemptOnce)
 {
   const auto& [param, idempotent] = GetParam();
-  RawTarget target(kPort, param.script_);
+  const uint16_t port = FreePort();
+  RawTarget target(port, param.script_);
   HttpTargetClient client(1);
   for (unsigned attempt = 1; attempt <= 2; attempt++) {
-    const TargetReply reply = RunAttempt(client, idempotent, kPort, RawTarget::kEndOfBody);
+    const TargetReply reply = RunAttempt(client, idempotent, port, RawTarget::kEndOfBody);
     EXPECT_EQ(reply.verdict_, param.verdict_);
     EXPECT_EQ(reply.reason_, param.reason_);
     EXPECT_EQ(reply.matches_.size(), param.verdict_ == Verdict::Ran ? 1 : 0);
@@ -149,10 +149,11 @@
 TEST_P(KeptConnection, IsNeverSentOnTwice)
 {
   const bool asksForNew = GetParam();
-  RawTarget target(kPort, AnswerThenClose);
+  const uint16_t port = FreePort();
+  RawTarget target(port, AnswerThenClose);
   HttpTargetClient client(1);
-  EXPECT_EQ(RunAttempt(client, true, kPort, RawTarget::kEndOfBody).verdict_, Verdict::Ran);
-  const TargetReply second = RunAttempt(client, true, kPort, RawTarget::kEndOfBody, Millis(300), asksForNew);
+  EXPECT_EQ(RunAttempt(client, true, port, RawTarget::kEndOfBody).verdict_, Verdict::Ran);
+  const TargetReply second = RunAttempt(client, true, port, RawTarget::kEndOfBody, Millis(300), asksForNew);
   EXPECT_EQ(second.verdict_, asksForNew ? Verdict::Ran : Verdict::MayHaveRun);
   EXPECT_EQ(second.reason_, asksForNew ? Reason::None : Reason::ConnectionLost);
   EXPECT_EQ(second.lostKeptConnection_, !asksForNew);
@@ -169,8 +170,9 @@
   EXPECT_EQ(refused.verdict_, Verdict::NotRun);
   EXPECT_EQ(refused.reason_, Reason::ConnectFailed);
 
-  SilentTarget full(kPort, true);
-  const TargetReply timedOut = RunAttempt(client, true, kPort, "x");
+  const uint16_t port = FreePort();
+  SilentTarget full(port, true);
+  const TargetReply timedOut = RunAttempt(client, true, port, "x");
   EXPECT_EQ(timedOut.verdict_, Verdict::NotRun);
   EXPECT_EQ(timedOut.reason_, Reason::ConnectFailed);
 }
@@ -178,9 +180,10 @@
 // Guards against a request that is sent although its deadline has passed, and then reported as not run.
 TEST(TargetConnect, ExpiredAttemptIsNotSent)
 {
-  RawTarget target(kPort, AnswerWhole);
+  const uint16_t port = FreePort();
+  RawTarget target(port, AnswerWhole);
   HttpTargetClient client(1);
-  const TargetReply reply = RunAttempt(client, false, kPort, RawTarget::kEndOfBody, Micros::zero());
+  const TargetReply reply = RunAttempt(client, false, port, RawTarget::kEndOfBody, Micros::zero());
   EXPECT_EQ(reply.verdict_, Verdict::NotRun);
   EXPECT_EQ(reply.reason_, Reason::Expired);
   EXPECT_EQ(target.Seen(), 0U);
@@ -191,9 +194,10 @@
 TEST(TargetConnect, UnreadRequestMayHaveRun)
 {
   HttpTargetClient client(1);
-  SilentTarget silent(kPort, false);
+  const uint16_t port = FreePort();
+  SilentTarget silent(port, false);
   for (size_t size : { size_t(1), size_t(16) << 20U }) {
-    const TargetReply reply = RunAttempt(client, true, kPort, std::string(size, 'x'));
+    const TargetReply reply = RunAttempt(client, true, port, std::string(size, 'x'));
     EXPECT_EQ(reply.verdict_, Verdict::MayHaveRun);
     EXPECT_EQ(reply.reason_, Reason::TimedOut);
   }
--- a/tests/target_faults_test.cpp
+++ b/tests/target_faults_test.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http_target_client.h"
 #include "connection/replica_dispatcher.h"
 #include "fakes/fake_targets.h"
+#include "free_port.h"
 #include "process/crash_guard.h"
 #include "standin/target_standin.h"
 
@@ -124,15 +125,15 @@
 // Guards against a stand-in whose faults do not reach the client as what they are.
 TEST_P(Standin, FaultsReachTheClient)
 {
-  constexpr const char* kAddress = "127.0.0.1:18957";
+  const std::string address = FreeAddress();
   standin::TargetStandin target(standin::TargetBehaviour{});
   LastReason reason;
   auto server = adapters::HttpServer::Create(
-    { kAddress }, [&target](const adapters::HttpRequest& aRequest) { return target.Handle(aRequest); }, reason);
+    { address }, [&target](const adapters::HttpRequest& aRequest) { return target.Handle(aRequest); }, reason);
   ASSERT_TRUE(server) << reason.Text();
   adapters::HttpCaller caller;
   adapters::HttpCall admin;
-  admin.address_ = kAddress;
+  admin.address_ = address;
   admin.method_ = "PUT";
   admin.url_ = "/admin";
   admin.body_ = GetParam().settings_;
@@ -140,7 +141,7 @@
 
   adapters::HttpTargetClient client(1);
   TargetAttempt attempt;
-  attempt.address_ = TargetAddress(kAddress);
+  attempt.address_ = TargetAddress(address);
   attempt.service_ = ServiceName("dockdesk");
   attempt.shard_ = ShardName("0");
   attempt.version_ = IndexVersion(1);
