--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -6,6 +6,7 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <pthread.h>
 #include <utility>
 
 namespace ibisrock::adapters {
@@ -157,6 +158,7 @@
 void
 NngTransport::ReceiveLoop()
 {
+  pthread_setname_np(pthread_self(), "peer receive");
   while (!stopped_) {
     nng_msg* message = nullptr;
     const int error = nng_recvmsg(nng_socket{ pullSocket_ }, &message, 0);
@@ -178,6 +180,12 @@
   }
 }
 
+TransportCounts
+NngTransport::Counts() const
+{
+  return { wakeUps_, frames_, refusedFrames_ };
+}
+
 std::shared_ptr<NngTransport::Peer>
 NngTransport::FindPeer(const PeerAddress& aPeer)
 {
@@ -232,12 +240,14 @@
 void
 NngTransport::SendLoop()
 {
+  pthread_setname_np(pthread_self(), "peer send");
   auto nextSweep = Clock::now() + kSweepTime;
   std::unique_lock lock(mutex_);
   while (!ending_) {
     const auto next = due_.empty() ? nextSweep : std::min(nextSweep, due_.front().time_);
     if (Clock::now() < next) {
       changed_.wait_until(lock, next);
+      wakeUps_++;
       continue;
     }
     std::shared_ptr<Peer> peer;
@@ -275,6 +285,7 @@
   }
   std::string frame = EncodeFrame(batch);
   const bool accepted = nng_send(socket, frame.data(), frame.size(), NNG_FLAG_NONBLOCK) == 0;
+  (accepted ? frames_ : refusedFrames_)++;
   const auto now = Clock::now();
   std::optional<nng_socket> closed;
   bool again = false;
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -20,6 +20,17 @@
 
 namespace ibisrock::adapters {
 
+/// What the sending thread of a transport has done so far.
+struct TransportCounts
+{
+  /// Times that it was woken or that its wait ended.
+  uint64_t wakeUps_ = 0;
+  /// Frames that nng accepted.
+  uint64_t frames_ = 0;
+  /// Frames that nng refused because the connection could not take them yet.
+  uint64_t refusedFrames_ = 0;
+};
+
 /// Messages between instances over nng pipelines: one pull socket that listens, one push socket for each peer in use.
 /// Messages to one peer within 200 us share a frame. One thread sends to all peers and one receives. Thread-safe.
 class NngTransport final : public PeerTransport
@@ -38,6 +49,7 @@
   bool Send(const PeerAddress& aPeer, std::string aBytes) override;
   /// Stops receiving, which takes up to 150 ms. Send keeps working until destruction. Not to be called by the receiver.
   void Stop();
+  TransportCounts Counts() const;
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -68,6 +80,10 @@
   std::deque<Due> due_;
   bool ending_ = false;
 
+  std::atomic<uint64_t> wakeUps_{ 0 };
+  std::atomic<uint64_t> frames_{ 0 };
+  std::atomic<uint64_t> refusedFrames_{ 0 };
+
   std::atomic<bool> stopped_{ false };
   std::thread receiveThread_;
   std::thread sendThread_;
