Serve all peers that are due with one wake-up of the sending thread

Each message to a peer without a frame under way woke the sending thread, even when it already waited for an earlier time, and each peer ended its batch time with a wake-up of its own.

The thread is now woken only for an earlier time than it waits for, and sends to all peers whose batch time ends within 100 us.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -22,6 +22,8 @@
 constexpr size_t kMaxQueuedMessages = 1024;
 constexpr size_t kMaxBatchBytes = 1024 * 1024;
 constexpr auto kBatchTime = 200us;
+/// A peer whose batch time ends this soon is served with one that is due now, so that one wake-up serves many peers.
+constexpr auto kJoinTime = kBatchTime / 2;
 constexpr auto kRetryTime = 5ms;
 /// A peer that accepts nothing for this long is gone or stopped. Its messages are dropped with the socket, because they
 /// would arrive stale when it comes back.
@@ -226,15 +228,20 @@
 void
 NngTransport::Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime)
 {
+  bool isFirst = false;
   {
     std::lock_guard lock(mutex_);
     auto place = due_.end();
     while (place != due_.begin() && std::prev(place)->time_ > aTime) {
       --place;
     }
+    isFirst = place == due_.begin();
     due_.insert(place, { aTime, std::move(aPeer) });
   }
-  changed_.notify_all();
+  // Otherwise the sending thread already waits for an earlier time.
+  if (isFirst) {
+    changed_.notify_all();
+  }
 }
 
 void
@@ -245,27 +252,37 @@
   std::unique_lock lock(mutex_);
   while (!ending_) {
     const auto next = due_.empty() ? nextSweep : std::min(nextSweep, due_.front().time_);
-    if (Clock::now() < next) {
+    const auto now = Clock::now();
+    if (now < next) {
       changed_.wait_until(lock, next);
       wakeUps_++;
       continue;
     }
-    std::shared_ptr<Peer> peer;
-    if (!due_.empty() && due_.front().time_ <= next) {
-      peer = std::move(due_.front().peer_);
-      due_.pop_front();
-    }
+    const std::vector<std::shared_ptr<Peer>> peers = TakeDue(now + kJoinTime);
     lock.unlock();
-    if (peer) {
+    for (const auto& peer : peers) {
       Flush(peer);
-    } else {
+    }
+    if (now >= nextSweep) {
       CloseUnused();
-      nextSweep = Clock::now() + kSweepTime;
+      nextSweep = now + kSweepTime;
     }
     lock.lock();
   }
 }
 
+/// Takes the peers that are due by then. To be called with mutex_ held.
+std::vector<std::shared_ptr<NngTransport::Peer>>
+NngTransport::TakeDue(Clock::time_point aTime)
+{
+  std::vector<std::shared_ptr<Peer>> peers;
+  while (!due_.empty() && due_.front().time_ <= aTime) {
+    peers.push_back(std::move(due_.front().peer_));
+    due_.pop_front();
+  }
+  return peers;
+}
+
 /// Sends one frame to the peer. Messages that it does not accept go back to the head of the queue, or are dropped with
 /// the socket when it has accepted none for too long.
 void
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -67,6 +67,7 @@
   void SendLoop();
   std::shared_ptr<Peer> FindPeer(const PeerAddress& aPeer);
   void Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime);
+  std::vector<std::shared_ptr<Peer>> TakeDue(Clock::time_point aTime);
   void Flush(const std::shared_ptr<Peer>& aPeer);
   void CloseUnused();
 
