Retry a refused frame after 200 us instead of 5 ms

The p99 of about 5 ms comes from refused frames. The push socket takes a frame only after one of nng's threads has completed the one before. When that thread is late, the next send is refused, and the transport waited kRetryTime (5 ms). After a frame that did not take the whole queue, the next one followed at once, which made this likely.

The first retry now comes after 200 us. The time doubles up to 5 ms, so that a peer that takes nothing costs no more than before. The rest of a queue waits for the batch time.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -24,7 +24,10 @@
 constexpr auto kBatchTime = 200us;
 /// A peer whose batch time ends this soon is served with one that is due now, so that one wake-up serves many peers.
 constexpr auto kJoinTime = kBatchTime / 2;
-constexpr auto kRetryTime = 5ms;
+/// A connection refuses a frame until it has written the one before, which takes microseconds unless the peer is slow.
+/// The time to the next try doubles from the first to the longest.
+constexpr auto kFirstRetryTime = 200us;
+constexpr auto kLongestRetryTime = 5ms;
 /// A peer that accepts nothing for this long is gone or stopped. Its messages are dropped with the socket, because they
 /// would arrive stale when it comes back.
 constexpr auto kBlockedTime = 1s;
@@ -70,6 +73,7 @@
   size_t sending_ = 0;
   bool scheduled_ = false;
   std::optional<Clock::time_point> blockedSince_;
+  Clock::duration retryTime_ = kFirstRetryTime;
   Clock::time_point redialAt_;
   Clock::time_point lastUse_;
 
@@ -305,12 +309,13 @@
   (accepted ? frames_ : refusedFrames_)++;
   const auto now = Clock::now();
   std::optional<nng_socket> closed;
-  bool again = false;
+  std::optional<Clock::duration> retry;
   {
     std::lock_guard lock(aPeer->mutex_);
     aPeer->sending_ = 0;
     if (accepted) {
       aPeer->blockedSince_.reset();
+      aPeer->retryTime_ = kFirstRetryTime;
     } else if (!aPeer->blockedSince_) {
       aPeer->blockedSince_ = now;
     }
@@ -324,13 +329,17 @@
         aPeer->queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
     }
     aPeer->scheduled_ = !aPeer->queue_.empty();
-    again = aPeer->scheduled_;
+    if (aPeer->scheduled_) {
+      retry = accepted ? kBatchTime : aPeer->retryTime_;
+      aPeer->retryTime_ =
+        accepted ? kFirstRetryTime : std::min<Clock::duration>(2 * aPeer->retryTime_, kLongestRetryTime);
+    }
   }
   if (closed) {
     nng_close(*closed);
   }
-  if (again) {
-    Schedule(aPeer, accepted ? now : now + kRetryTime);
+  if (retry) {
+    Schedule(aPeer, now + *retry);
   }
 }
 
