--- a/bench/transport_bench.cpp
+++ b/bench/transport_bench.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstring>
@@ -36,6 +37,7 @@
   --peers N     Send to N peers at a steady rate instead, N at most 60000 [default: 0].
   --fan-out N   Messages sent at once, each to another peer [default: 98].
   --rate N      Messages a second over all peers [default: 20000].
+  --senders N   Threads that share the rate, each with fan-outs of its own [default: 1].
   --threads     Print processor time and context switches by thread name.
 )";
 
@@ -160,14 +162,14 @@
   }
 }
 
-/// Times from send to arrival, of messages that begin with their send time.
+/// Times to arrival, of messages that begin with the time when the first message of their fan-out was sent.
 class Delays
 {
 public:
-  static std::string Message()
+  static std::string Message(Clock::time_point aStart = Clock::now())
   {
     std::string bytes(kMessageBytes, 'x');
-    const Clock::rep sent = Clock::now().time_since_epoch().count();
+    const Clock::rep sent = aStart.time_since_epoch().count();
     std::memcpy(bytes.data(), &sent, sizeof(sent));
     return bytes;
   }
@@ -202,22 +204,41 @@
   size_t fanOut_;
   double rate_;
   size_t messages_;
+  size_t senders_;
   bool threads_;
 };
 
-/// Sends each message of a load once, at its rate. Returns the number that the transport refused.
+/// Sends a share of the messages of a load, each once, at the share's rate, beginning with peer aFirst. Returns the
+/// number that the transport refused.
 size_t
-SendLoad(adapters::NngTransport& aFrom, const std::vector<PeerAddress>& aPeers, const Load& aLoad)
+SendShare(adapters::NngTransport& aFrom, const std::vector<PeerAddress>& aPeers, const Load& aLoad, size_t aFirst)
 {
+  const double rate = aLoad.rate_ / static_cast<double>(aLoad.senders_);
   size_t refused = 0;
   const auto start = Clock::now();
-  for (size_t sent = 0; sent < aLoad.messages_; sent++) {
+  auto fanOutStart = start;
+  for (size_t sent = 0; sent < aLoad.messages_ / aLoad.senders_; sent++) {
     if (sent % aLoad.fanOut_ == 0) {
-      const std::chrono::duration<double> due(static_cast<double>(sent) / aLoad.rate_);
+      const std::chrono::duration<double> due(static_cast<double>(sent) / rate);
       std::this_thread::sleep_until(start + std::chrono::duration_cast<Clock::duration>(due));
+      fanOutStart = Clock::now();
     }
-    refused += aFrom.Send(aPeers[sent % aPeers.size()], Delays::Message()) ? 0 : 1;
+    refused += aFrom.Send(aPeers[(aFirst + sent) % aPeers.size()], Delays::Message(fanOutStart)) ? 0 : 1;
+  }
+  return refused;
+}
+
+/// Sends all messages of a load. Returns the number that the transport refused.
+size_t
+SendLoad(adapters::NngTransport& aFrom, const std::vector<PeerAddress>& aPeers, const Load& aLoad)
+{
+  std::atomic<size_t> refused = 0;
+  std::vector<std::jthread> threads;
+  for (size_t sender = 0; sender < aLoad.senders_; sender++) {
+    threads.emplace_back(
+      [&, sender] { refused += SendShare(aFrom, aPeers, aLoad, sender * aPeers.size() / aLoad.senders_); });
   }
+  threads.clear();
   return refused;
 }
 
@@ -323,7 +344,8 @@
   if (peers > 0) {
     const auto fanOut = static_cast<size_t>(arguments.at("--fan-out").asLong());
     const auto rate = static_cast<double>(arguments.at("--rate").asLong());
-    return RunManyPeers({ peers, fanOut, rate, messages, threads }, port);
+    const auto senders = static_cast<size_t>(std::max(1L, arguments.at("--senders").asLong()));
+    return RunManyPeers({ peers, fanOut, rate, messages / senders * senders, senders, threads }, port);
   }
   const auto address = [port](long aOffset) { return "127.0.0.1:" + std::to_string(port + aOffset); };
   LastReason reason;
