Send a message alone on the caller's thread

A message to an idle peer waited 200 us for others that never came: at the planned size a peer gets 45 messages a second. It woke the sending thread twice, once to start the wait and once at its end.

The first message after 200 us without a frame is now sent by its caller. Messages that follow within the 200 us share a frame as before. The thread that sets scheduled_ is the only one that sends to the peer, so the order is kept.

The delay of a fan-out of 98 is that of 98 writes in turn, on whichever thread.

Conclusion: kept, for the processor time and for the delay of a message alone.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -21,6 +21,7 @@
 constexpr size_t kFrameOverhead = 64;
 constexpr size_t kMaxQueuedMessages = 1024;
 constexpr size_t kMaxBatchBytes = 1024 * 1024;
+/// Least time between two frames to a peer. A message that follows sooner waits and shares its frame with others.
 constexpr auto kBatchTime = 200us;
 /// A peer whose batch time ends this soon is served with one that is due now, so that one wake-up serves many peers.
 constexpr auto kJoinTime = kBatchTime / 2;
@@ -62,7 +63,8 @@
 
 } // namespace
 
-/// A peer and the messages that wait for it. Only the sending thread sends on the socket and closes it.
+/// A peer and the messages that wait for it. Only the thread that has set scheduled_ sends on the socket, until the
+/// peer is scheduled for the sending thread or has no messages. Only the sending thread closes the socket.
 struct NngTransport::Peer
 {
   const PeerAddress address_;
@@ -71,11 +73,13 @@
   std::vector<std::string> queue_;
   /// Messages taken from the queue that the socket has not accepted yet. They count as queued.
   size_t sending_ = 0;
+  /// Whether a thread serves the peer or it is in due_.
   bool scheduled_ = false;
   std::optional<Clock::time_point> blockedSince_;
   Clock::duration retryTime_ = kFirstRetryTime;
   Clock::time_point redialAt_;
   Clock::time_point lastUse_;
+  Clock::time_point lastFrame_;
 
   explicit Peer(PeerAddress aAddress)
     : address_(std::move(aAddress))
@@ -211,6 +215,7 @@
   }
   std::shared_ptr<Peer> peer = FindPeer(aPeer);
   const auto now = Clock::now();
+  Clock::time_point flushAt;
   {
     std::lock_guard lock(peer->mutex_);
     if (!peer->socket_ && now >= peer->redialAt_) {
@@ -224,8 +229,14 @@
     if (std::exchange(peer->scheduled_, true)) {
       return true;
     }
+    flushAt = peer->lastFrame_ + kBatchTime;
+  }
+  // Waking the sending thread twice for a message alone costs more than sending it.
+  if (flushAt > now) {
+    Schedule(std::move(peer), flushAt);
+  } else {
+    Flush(peer);
   }
-  Schedule(std::move(peer), now + kBatchTime);
   return true;
 }
 
@@ -314,6 +325,7 @@
     std::lock_guard lock(aPeer->mutex_);
     aPeer->sending_ = 0;
     if (accepted) {
+      aPeer->lastFrame_ = now;
       aPeer->blockedSince_.reset();
       aPeer->retryTime_ = kFirstRetryTime;
     } else if (!aPeer->blockedSince_) {
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -32,7 +32,8 @@
 };
 
 /// Messages between instances over nng pipelines: one pull socket that listens, one push socket for each peer in use.
-/// Messages to one peer within 200 us share a frame. One thread sends to all peers and one receives. Thread-safe.
+/// A message to a peer that got no frame within 200 us is sent by the caller's thread. Those that follow sooner share a
+/// frame, which one thread sends for all peers. One thread receives. Thread-safe.
 class NngTransport final : public PeerTransport
 {
 public:
--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -1,6 +1,8 @@
 #include "adapters/frame.h"
 #include "adapters/nng_transport.h"
+#include "free_port.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <gtest/gtest.h>
 #include <mutex>
@@ -93,6 +95,98 @@
   }
 }
 
+/// Sends until the peer has received a message, so that the connection is open.
+void
+Connect(Endpoint& aFrom, Endpoint& aTo)
+{
+  while (aTo.Received().empty()) {
+    aFrom.transport_->Send(PeerAddress(aTo.address_), "0 0");
+    std::this_thread::yield();
+  }
+}
+
+// Guards against two threads whose sends to one peer overtake each other, as each may write a frame itself.
+TEST(NngTransport, KeepsTheOrderOfEachThread)
+{
+  constexpr int kThreads = 4;
+  constexpr int kMessages = 2000;
+  Endpoint from;
+  Endpoint to;
+  Connect(from, to);
+  std::vector<std::thread> threads;
+  for (int thread = 0; thread < kThreads; thread++) {
+    threads.emplace_back([&, thread] {
+      for (int message = 1; message <= kMessages; message++) {
+        while (
+          !from.transport_->Send(PeerAddress(to.address_), std::to_string(thread) + " " + std::to_string(message))) {
+          std::this_thread::yield();
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  // The last messages of all threads arrive, because nothing is dropped while the peer accepts messages.
+  std::vector<int> last(kThreads, 0);
+  size_t read = 0;
+  while (last != std::vector<int>(kThreads, kMessages)) {
+    const std::vector<std::string> received = to.Received();
+    for (; read < received.size(); read++) {
+      const int thread = std::stoi(received[read]);
+      const int message = std::stoi(received[read].substr(received[read].find(' ')));
+      ASSERT_TRUE(message == 0 || message == last[thread] + 1) << received[read];
+      last[thread] = std::max(last[thread], message);
+    }
+    std::this_thread::yield();
+  }
+}
+
+// Guards against a wake-up of the sending thread for each message, which costs more than the message.
+TEST(NngTransport, MessagesOnAnIdleConnectionNeedNoWakeUp)
+{
+  constexpr size_t kMessages = 200;
+  Endpoint from;
+  Endpoint to;
+  Connect(from, to);
+  const uint64_t before = from.transport_->Counts().wakeUps_;
+  for (size_t message = 0; message < kMessages; message++) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    from.transport_->Send(PeerAddress(to.address_), "lone");
+  }
+  // Sweeps and a few refused frames wake it too.
+  EXPECT_LT(from.transport_->Counts().wakeUps_ - before, kMessages / 2);
+}
+
+// Guards against a frame for each message of a burst.
+TEST(NngTransport, MessagesOfABurstShareFrames)
+{
+  constexpr size_t kMessages = 500;
+  Endpoint from;
+  Endpoint to;
+  Connect(from, to);
+  const uint64_t before = from.transport_->Counts().frames_;
+  for (size_t message = 0; message < kMessages; message++) {
+    from.transport_->Send(PeerAddress(to.address_), "burst");
+  }
+  EXPECT_LT(from.transport_->Counts().frames_ - before, kMessages / 4);
+}
+
+// Guards against a peer that accepts nothing and takes up the sending thread: tries come at most every 5 ms in the
+// end, and stop after a second.
+TEST(NngTransport, TriesABlockedPeerSeldom)
+{
+  const ReservedPort nobody;
+  Endpoint from;
+  ASSERT_TRUE(from.transport_->Send(PeerAddress(nobody.Address()), "first"));
+  while (from.transport_->Send(PeerAddress(nobody.Address()), "more")) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_GT(from.transport_->Counts().refusedFrames_, 1U);
+  EXPECT_LT(from.transport_->Counts().refusedFrames_, 250U);
+  EXPECT_EQ(from.transport_->Counts().frames_, 0U);
+}
+
 // Guards against messages that a peer gets when it comes back although they were queued while it was gone.
 TEST(NngTransport, ReturningPeerGetsNoOldMessages)
 {
