--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -114,6 +114,7 @@
   Endpoint to;
   Connect(from, to);
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int thread = 0; thread < kThreads; thread++) {
     threads.emplace_back([&, thread] {
       for (int message = 1; message <= kMessages; message++) {
