--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -6,6 +6,7 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <pthread.h>
 #include <utility>
 
 namespace ibisrock::adapters {
@@ -20,8 +21,14 @@
 constexpr size_t kFrameOverhead = 64;
 constexpr size_t kMaxQueuedMessages = 1024;
 constexpr size_t kMaxBatchBytes = 1024 * 1024;
+/// Least time between two frames to a peer. A message that follows sooner waits and shares its frame with others.
 constexpr auto kBatchTime = 200us;
-constexpr auto kRetryTime = 5ms;
+/// A peer whose batch time ends this soon is served with one that is due now, so that one wake-up serves many peers.
+constexpr auto kJoinTime = kBatchTime / 2;
+/// A connection refuses a frame until it has written the one before, which takes microseconds unless the peer is slow.
+/// The time to the next try doubles from the first to the longest.
+constexpr auto kFirstRetryTime = 200us;
+constexpr auto kLongestRetryTime = 5ms;
 /// A peer that accepts nothing for this long is gone or stopped. Its messages are dropped with the socket, because they
 /// would arrive stale when it comes back.
 constexpr auto kBlockedTime = 1s;
@@ -30,8 +37,6 @@
 /// A socket without messages for this long is closed, so that departed members leave none behind.
 constexpr auto kIdleTime = 60s;
 constexpr auto kSweepTime = 1s;
-/// Longest time that the receiving thread takes to notice Stop.
-constexpr nng_duration kReceiveTimeoutMs = 50;
 /// Time between the last receive and nng_close. nng 1.5.2 may wait for ever in nng_close, and with it every later
 /// nng_close of the process, when a connection completes a receive at that moment. Once nobody receives, a connection
 /// takes one more message and then no other, so that connections in use are at rest after this time.
@@ -56,7 +61,8 @@
 
 } // namespace
 
-/// A peer and the messages that wait for it. Only the sending thread sends on the socket and closes it.
+/// A peer and the messages that wait for it. Only the thread that has set scheduled_ sends on the socket, until the
+/// peer is scheduled for the sending thread or has no messages. Only the sending thread closes the socket.
 struct NngTransport::Peer
 {
   const PeerAddress address_;
@@ -65,10 +71,13 @@
   std::vector<std::string> queue_;
   /// Messages taken from the queue that the socket has not accepted yet. They count as queued.
   size_t sending_ = 0;
+  /// Whether a thread serves the peer or it is in due_.
   bool scheduled_ = false;
   std::optional<Clock::time_point> blockedSince_;
+  Clock::duration retryTime_ = kFirstRetryTime;
   Clock::time_point redialAt_;
   Clock::time_point lastUse_;
+  Clock::time_point lastFrame_;
 
   explicit Peer(PeerAddress aAddress)
     : address_(std::move(aAddress))
@@ -102,26 +111,31 @@
 NngTransport::Create(const std::string& aAddress, LastReason& aReason)
 {
   nng_socket pull = NNG_SOCKET_INITIALIZER;
+  nng_aio* receive = nullptr;
   int error = nng_pull0_open(&pull);
   if (error == 0) {
     nng_socket_set_int(pull, NNG_OPT_RECVBUF, kReceiveBufferMessages);
     nng_socket_set_size(pull, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
-    nng_socket_set_ms(pull, NNG_OPT_RECVTIMEO, kReceiveTimeoutMs);
     error = nng_listen(pull, ("tcp://" + aAddress).c_str(), nullptr, 0);
   }
+  if (error == 0) {
+    // Without a time-out: nng wakes a thread of its own for the time-outs of a receive.
+    error = nng_aio_alloc(&receive, nullptr, nullptr);
+  }
   if (error != 0) {
     aReason.Set("cannot listen for peers on " + aAddress + ": " + nng_strerror(error));
     nng_close(pull);
     return std::nullopt;
   }
-  std::unique_ptr<NngTransport> transport(new NngTransport(pull.id));
+  std::unique_ptr<NngTransport> transport(new NngTransport(pull.id, receive));
   transport->receiveThread_ = std::thread([raw = transport.get()] { raw->ReceiveLoop(); });
   transport->sendThread_ = std::thread([raw = transport.get()] { raw->SendLoop(); });
   return transport;
 }
 
-NngTransport::NngTransport(uint32_t aPullSocket)
+NngTransport::NngTransport(uint32_t aPullSocket, nng_aio* aReceiveAio)
   : pullSocket_(aPullSocket)
+  , receiveAio_(aReceiveAio)
 {
 }
 
@@ -142,7 +156,9 @@
   if (stopped_.exchange(true)) {
     return;
   }
+  nng_aio_stop(receiveAio_);
   receiveThread_.join();
+  nng_aio_free(receiveAio_);
   std::this_thread::sleep_for(kSettleTime);
   nng_close(nng_socket{ pullSocket_ });
 }
@@ -157,15 +173,14 @@
 void
 NngTransport::ReceiveLoop()
 {
+  pthread_setname_np(pthread_self(), "peer receive");
   while (!stopped_) {
-    nng_msg* message = nullptr;
-    const int error = nng_recvmsg(nng_socket{ pullSocket_ }, &message, 0);
-    if (error == NNG_ETIMEDOUT) {
-      continue;
-    }
-    if (error != 0) {
+    nng_recv_aio(nng_socket{ pullSocket_ }, receiveAio_);
+    nng_aio_wait(receiveAio_);
+    if (nng_aio_result(receiveAio_) != 0) {
       return;
     }
+    nng_msg* message = nng_aio_get_msg(receiveAio_);
     Receiver receiver;
     {
       std::lock_guard lock(receiverMutex_);
@@ -178,6 +193,12 @@
   }
 }
 
+TransportCounts
+NngTransport::Counts() const
+{
+  return { wakeUps_, frames_, refusedFrames_ };
+}
+
 std::shared_ptr<NngTransport::Peer>
 NngTransport::FindPeer(const PeerAddress& aPeer)
 {
@@ -197,6 +218,7 @@
   }
   std::shared_ptr<Peer> peer = FindPeer(aPeer);
   const auto now = Clock::now();
+  Clock::time_point flushAt;
   {
     std::lock_guard lock(peer->mutex_);
     if (!peer->socket_ && now >= peer->redialAt_) {
@@ -210,52 +232,75 @@
     if (std::exchange(peer->scheduled_, true)) {
       return true;
     }
+    flushAt = peer->lastFrame_ + kBatchTime;
+  }
+  // Waking the sending thread twice for a message alone costs more than sending it.
+  if (flushAt > now) {
+    Schedule(std::move(peer), flushAt);
+  } else {
+    Flush(peer);
   }
-  Schedule(std::move(peer), now + kBatchTime);
   return true;
 }
 
 void
 NngTransport::Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime)
 {
+  bool isFirst = false;
   {
     std::lock_guard lock(mutex_);
     auto place = due_.end();
     while (place != due_.begin() && std::prev(place)->time_ > aTime) {
       --place;
     }
+    isFirst = place == due_.begin();
     due_.insert(place, { aTime, std::move(aPeer) });
   }
-  changed_.notify_all();
+  // Otherwise the sending thread already waits for an earlier time.
+  if (isFirst) {
+    changed_.notify_all();
+  }
 }
 
 void
 NngTransport::SendLoop()
 {
+  pthread_setname_np(pthread_self(), "peer send");
   auto nextSweep = Clock::now() + kSweepTime;
   std::unique_lock lock(mutex_);
   while (!ending_) {
     const auto next = due_.empty() ? nextSweep : std::min(nextSweep, due_.front().time_);
-    if (Clock::now() < next) {
+    const auto now = Clock::now();
+    if (now < next) {
       changed_.wait_until(lock, next);
+      wakeUps_++;
       continue;
     }
-    std::shared_ptr<Peer> peer;
-    if (!due_.empty() && due_.front().time_ <= next) {
-      peer = std::move(due_.front().peer_);
-      due_.pop_front();
-    }
+    const std::vector<std::shared_ptr<Peer>> peers = TakeDue(now + kJoinTime);
     lock.unlock();
-    if (peer) {
+    for (const auto& peer : peers) {
       Flush(peer);
-    } else {
+    }
+    if (now >= nextSweep) {
       CloseUnused();
-      nextSweep = Clock::now() + kSweepTime;
+      nextSweep = now + kSweepTime;
     }
     lock.lock();
   }
 }
 
+/// Takes the peers that are due by then. To be called with mutex_ held.
+std::vector<std::shared_ptr<NngTransport::Peer>>
+NngTransport::TakeDue(Clock::time_point aTime)
+{
+  std::vector<std::shared_ptr<Peer>> peers;
+  while (!due_.empty() && due_.front().time_ <= aTime) {
+    peers.push_back(std::move(due_.front().peer_));
+    due_.pop_front();
+  }
+  return peers;
+}
+
 /// Sends one frame to the peer. Messages that it does not accept go back to the head of the queue, or are dropped with
 /// the socket when it has accepted none for too long.
 void
@@ -275,14 +320,17 @@
   }
   std::string frame = EncodeFrame(batch);
   const bool accepted = nng_send(socket, frame.data(), frame.size(), NNG_FLAG_NONBLOCK) == 0;
+  (accepted ? frames_ : refusedFrames_)++;
   const auto now = Clock::now();
   std::optional<nng_socket> closed;
-  bool again = false;
+  std::optional<Clock::duration> retry;
   {
     std::lock_guard lock(aPeer->mutex_);
     aPeer->sending_ = 0;
     if (accepted) {
+      aPeer->lastFrame_ = now;
       aPeer->blockedSince_.reset();
+      aPeer->retryTime_ = kFirstRetryTime;
     } else if (!aPeer->blockedSince_) {
       aPeer->blockedSince_ = now;
     }
@@ -296,13 +344,17 @@
         aPeer->queue_.begin(), std::make_move_iterator(batch.begin()), std::make_move_iterator(batch.end()));
     }
     aPeer->scheduled_ = !aPeer->queue_.empty();
-    again = aPeer->scheduled_;
+    if (aPeer->scheduled_) {
+      retry = accepted ? kBatchTime : aPeer->retryTime_;
+      aPeer->retryTime_ =
+        accepted ? kFirstRetryTime : std::min<Clock::duration>(2 * aPeer->retryTime_, kLongestRetryTime);
+    }
   }
   if (closed) {
     nng_close(*closed);
   }
-  if (again) {
-    Schedule(aPeer, accepted ? now : now + kRetryTime);
+  if (retry) {
+    Schedule(aPeer, now + *retry);
   }
 }
 
--- a/src/adapters/nng_transport.h
+++ b/src/adapters/nng_transport.h
@@ -18,10 +18,24 @@
 #include <unordered_map>
 #include <vector>
 
+struct nng_aio;
+
 namespace ibisrock::adapters {
 
+/// What the sending thread of a transport has done so far.
+struct TransportCounts
+{
+  /// Times that it was woken or that its wait ended.
+  uint64_t wakeUps_ = 0;
+  /// Frames that nng accepted.
+  uint64_t frames_ = 0;
+  /// Frames that nng refused because the connection could not take them yet.
+  uint64_t refusedFrames_ = 0;
+};
+
 /// Messages between instances over nng pipelines: one pull socket that listens, one push socket for each peer in use.
-/// Messages to one peer within 200 us share a frame. One thread sends to all peers and one receives. Thread-safe.
+/// A message to a peer that got no frame within 200 us is sent by the caller's thread. Those that follow sooner share a
+/// frame, which one thread sends for all peers. One thread receives. Thread-safe.
 class NngTransport final : public PeerTransport
 {
 public:
@@ -36,8 +50,9 @@
   /// Returns false only for a message that was not queued: the peer accepts nothing, its queue is full, or the message
   /// is too large. A queued message is dropped when the peer accepts nothing for a second.
   bool Send(const PeerAddress& aPeer, std::string aBytes) override;
-  /// Stops receiving, which takes up to 150 ms. Send keeps working until destruction. Not to be called by the receiver.
+  /// Stops receiving, which takes 100 ms. Send keeps working until destruction. Not to be called by the receiver.
   void Stop();
+  TransportCounts Counts() const;
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -49,16 +64,18 @@
     std::shared_ptr<Peer> peer_;
   };
 
-  explicit NngTransport(uint32_t aPullSocket);
+  NngTransport(uint32_t aPullSocket, nng_aio* aReceiveAio);
 
   void ReceiveLoop();
   void SendLoop();
   std::shared_ptr<Peer> FindPeer(const PeerAddress& aPeer);
   void Schedule(std::shared_ptr<Peer> aPeer, Clock::time_point aTime);
+  std::vector<std::shared_ptr<Peer>> TakeDue(Clock::time_point aTime);
   void Flush(const std::shared_ptr<Peer>& aPeer);
   void CloseUnused();
 
   const uint32_t pullSocket_;
+  nng_aio* const receiveAio_;
   std::mutex receiverMutex_;
   Receiver receiver_;
 
@@ -68,6 +85,10 @@
   std::deque<Due> due_;
   bool ending_ = false;
 
+  std::atomic<uint64_t> wakeUps_{ 0 };
+  std::atomic<uint64_t> frames_{ 0 };
+  std::atomic<uint64_t> refusedFrames_{ 0 };
+
   std::atomic<bool> stopped_{ false };
   std::thread receiveThread_;
   std::thread sendThread_;
