Use a socket to a peer for one connection only

The crash is in nng_send: the push protocol of nng 1.5.2 puts a connection that closes while a send completes back into its list of ready connections. The next send on the socket reads the freed connection.

Change: each connection has a socket of its own. nng reports the loss of a connection before it frees it; that report and each send hold the same lock, so that no send follows a loss. The sending thread replaces the lost socket at the next message, at most every 100 ms for each peer. Messages that were not accepted yet stay in the queue under the same limits as before.

Test: NngTransport.OutlivesConnectionsLostWhileSending, with freed memory filled.

Conclusion: a lost connection between instances no longer ends a process.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -2,7 +2,10 @@
 
 #include "adapters/frame.h"
 
+#include <algorithm>
 #include <iterator>
+#include <memory>
+#include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -27,6 +30,8 @@
 constexpr auto kBlockedTime = 1s;
 /// Time until such a peer is dialled again.
 constexpr auto kRedialTime = 500ms;
+/// Shortest time between two connections to a peer whose connections are lost.
+constexpr auto kReconnectTime = 100ms;
 /// A socket without messages for this long is closed, so that departed members leave none behind.
 constexpr auto kIdleTime = 60s;
 constexpr auto kSweepTime = 1s;
@@ -37,33 +42,75 @@
 /// takes one more message and then no other, so that connections in use are at rest after this time.
 constexpr auto kSettleTime = 100ms;
 
-/// Dials without waiting. Returns no value when no socket can be made.
-std::optional<nng_socket>
-Dial(const PeerAddress& aPeer)
+/// A dialled socket of one connection. When that connection is lost, the socket must not be used again: the push
+/// protocol of nng 1.5.2 puts a connection that closes while a send completes back into its list of ready connections,
+/// and the next send on the socket reads freed memory. nng reports the loss before it frees the connection.
+class Line
 {
-  nng_socket socket = NNG_SOCKET_INITIALIZER;
-  if (nng_push0_open(&socket) != 0) {
-    return std::nullopt;
+public:
+  /// Dials without waiting. Returns no line when no socket can be made.
+  static std::unique_ptr<Line> Dial(const PeerAddress& aPeer)
+  {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_push0_open(&socket) != 0) {
+      return nullptr;
+    }
+    std::unique_ptr<Line> line(new Line(socket));
+    // Messages wait in NngTransport, where their age is bounded, and not in the socket.
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
+    const bool dialled = nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, &OnLost, line.get()) == 0 &&
+                         nng_dial(socket, ("tcp://" + aPeer.Value()).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
+    return dialled ? std::move(line) : nullptr;
   }
-  // Messages wait in this class, where their age is bounded, and not in the socket.
-  nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
-  if (nng_dial(socket, ("tcp://" + aPeer.Value()).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-    nng_close(socket);
-    return std::nullopt;
+
+  /// Waits until nng reports nothing more about the connection.
+  ~Line() { nng_close(socket_); }
+
+  Line(const Line&) = delete;
+  Line& operator=(const Line&) = delete;
+
+  bool IsLost()
+  {
+    const std::lock_guard lock(mutex_);
+    return lost_;
+  }
+
+  /// Returns false when the socket does not take the frame now, or never again.
+  bool Send(std::string& aFrame)
+  {
+    const std::lock_guard lock(mutex_);
+    return !lost_ && nng_send(socket_, aFrame.data(), aFrame.size(), NNG_FLAG_NONBLOCK) == 0;
+  }
+
+private:
+  explicit Line(nng_socket aSocket)
+    : socket_(aSocket)
+  {
   }
-  return socket;
-}
+
+  static void OnLost(nng_pipe /*aPipe*/, nng_pipe_ev /*aEvent*/, void* aLine)
+  {
+    auto* line = static_cast<Line*>(aLine);
+    const std::lock_guard lock(line->mutex_);
+    line->lost_ = true;
+  }
+
+  const nng_socket socket_;
+  /// Held while sending, so that nng frees no connection during a send.
+  std::mutex mutex_;
+  bool lost_ = false;
+};
 
 } // namespace
 
-/// A peer and the messages that wait for it. Only the sending thread sends on the socket and closes it.
+/// A peer and the messages that wait for it. Only the sending thread sends on the line and closes it.
 struct NngTransport::Peer
 {
   const PeerAddress address_;
   std::mutex mutex_;
-  std::optional<nng_socket> socket_;
+  std::unique_ptr<Line> line_;
   std::vector<std::string> queue_;
-  /// Messages taken from the queue that the socket has not accepted yet. They count as queued.
+  /// Messages taken from the queue that the line has not accepted yet. They count as queued.
   size_t sending_ = 0;
   bool scheduled_ = false;
   std::optional<Clock::time_point> blockedSince_;
@@ -76,10 +123,13 @@
   }
   Peer(const Peer&) = delete;
   Peer& operator=(const Peer&) = delete;
-  ~Peer()
+
+  /// Dials when there is no line and the time for it has come.
+  void DialWhenDue(Clock::time_point aNow)
   {
-    if (socket_) {
-      nng_close(*socket_);
+    if (!line_ && aNow >= redialAt_) {
+      line_ = Line::Dial(address_);
+      redialAt_ = aNow + kReconnectTime;
     }
   }
 
@@ -199,10 +249,8 @@
   const auto now = Clock::now();
   {
     std::lock_guard lock(peer->mutex_);
-    if (!peer->socket_ && now >= peer->redialAt_) {
-      peer->socket_ = Dial(aPeer);
-    }
-    if (!peer->socket_ || peer->queue_.size() + peer->sending_ >= kMaxQueuedMessages) {
+    peer->DialWhenDue(now);
+    if (!peer->line_ || peer->queue_.size() + peer->sending_ >= kMaxQueuedMessages) {
       return false;
     }
     peer->queue_.push_back(std::move(aBytes));
@@ -257,26 +305,41 @@
 }
 
 /// Sends one frame to the peer. Messages that it does not accept go back to the head of the queue, or are dropped with
-/// the socket when it has accepted none for too long.
+/// the line when it has accepted none for too long. A lost line is replaced.
 void
 NngTransport::Flush(const std::shared_ptr<Peer>& aPeer)
 {
   std::vector<std::string> batch;
-  nng_socket socket = NNG_SOCKET_INITIALIZER;
+  // Closed after the lock is released, because closing waits for nng.
+  std::unique_ptr<Line> closed;
+  Line* line = nullptr;
+  const auto begin = Clock::now();
+  std::optional<Clock::time_point> redialAt;
   {
     std::lock_guard lock(aPeer->mutex_);
-    batch = aPeer->TakeBatch();
-    if (batch.empty() || !aPeer->socket_) {
+    if (aPeer->line_ && aPeer->line_->IsLost()) {
+      closed = std::move(aPeer->line_);
+    }
+    if (aPeer->queue_.empty()) {
       aPeer->scheduled_ = false;
       return;
     }
-    socket = *aPeer->socket_;
-    aPeer->sending_ = batch.size();
+    aPeer->DialWhenDue(begin);
+    line = aPeer->line_.get();
+    if (line == nullptr) {
+      redialAt = std::max(aPeer->redialAt_, begin + kRetryTime);
+    } else {
+      batch = aPeer->TakeBatch();
+      aPeer->sending_ = batch.size();
+    }
+  }
+  if (redialAt) {
+    Schedule(aPeer, *redialAt);
+    return;
   }
   std::string frame = EncodeFrame(batch);
-  const bool accepted = nng_send(socket, frame.data(), frame.size(), NNG_FLAG_NONBLOCK) == 0;
+  const bool accepted = line->Send(frame);
   const auto now = Clock::now();
-  std::optional<nng_socket> closed;
   bool again = false;
   {
     std::lock_guard lock(aPeer->mutex_);
@@ -288,7 +351,7 @@
     }
     if (!accepted && now - *aPeer->blockedSince_ >= kBlockedTime) {
       aPeer->queue_.clear();
-      closed = std::exchange(aPeer->socket_, std::nullopt);
+      closed = std::move(aPeer->line_);
       aPeer->blockedSince_.reset();
       aPeer->redialAt_ = now + kRedialTime;
     } else if (!accepted) {
@@ -298,15 +361,12 @@
     aPeer->scheduled_ = !aPeer->queue_.empty();
     again = aPeer->scheduled_;
   }
-  if (closed) {
-    nng_close(*closed);
-  }
   if (again) {
     Schedule(aPeer, accepted ? now : now + kRetryTime);
   }
 }
 
-/// Closes the sockets of peers that nothing was sent to for long, and forgets peers without a socket.
+/// Closes the lines of peers that nothing was sent to for long, and forgets peers without a line.
 void
 NngTransport::CloseUnused()
 {
@@ -316,7 +376,7 @@
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     std::lock_guard peerLock(entry->second->mutex_);
     const bool isIdle = !entry->second->scheduled_ && now - entry->second->lastUse_ >= kIdleTime;
-    const bool isClosed = !entry->second->socket_ && now >= entry->second->redialAt_;
+    const bool isClosed = !entry->second->scheduled_ && !entry->second->line_ && now >= entry->second->redialAt_;
     if (isIdle || isClosed) {
       unused.push_back(entry->second);
       entry = peers_.erase(entry);
--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -1,11 +1,17 @@
 #include "adapters/frame.h"
 #include "adapters/nng_transport.h"
 
+#include <arpa/inet.h>
+#include <atomic>
 #include <condition_variable>
 #include <gtest/gtest.h>
+#include <malloc.h>
 #include <mutex>
+#include <netinet/in.h>
 #include <set>
 #include <stdexcept>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
 
@@ -51,6 +57,56 @@
   }
 };
 
+/// A peer that closes every connection as soon as the first bytes after the protocol header have arrived.
+class ClosingPeer
+{
+public:
+  ClosingPeer()
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
+    listen(listener_, 8);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = PeerAddress("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+    thread_ = std::thread([this] { CloseAll(); });
+  }
+  ~ClosingPeer()
+  {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+
+  ClosingPeer(const ClosingPeer&) = delete;
+  ClosingPeer& operator=(const ClosingPeer&) = delete;
+
+  const PeerAddress& Address() const { return address_; }
+  unsigned Closed() const { return closed_; }
+
+private:
+  void CloseAll()
+  {
+    // Protocol header of a pull socket.
+    constexpr char kHeader[] = { 0, 'S', 'P', 0, 0, 0x51, 0, 0 };
+    const timeval limit{ 5, 0 };
+    for (int connection = 0; (connection = accept(listener_, nullptr, nullptr)) >= 0; closed_++) {
+      char buffer[sizeof(kHeader) + 1];
+      setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+      send(connection, kHeader, sizeof(kHeader), MSG_NOSIGNAL);
+      recv(connection, buffer, sizeof(buffer), MSG_WAITALL);
+      close(connection);
+    }
+  }
+
+  const int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+  PeerAddress address_;
+  std::atomic<unsigned> closed_ = 0;
+  std::thread thread_;
+};
+
 // Guards against messages that batching loses, doubles, reorders or alters.
 TEST(Frame, KeepsMessages)
 {
@@ -119,5 +175,30 @@
   }
 }
 
+// Guards against a crash of the process when connections are lost while messages are sent: nng 1.5.2 reads freed memory
+// when a socket is used after its connection closed while a send completed.
+TEST(NngTransport, OutlivesConnectionsLostWhileSending)
+{
+  constexpr unsigned kPeers = 16;
+  constexpr unsigned kClosedByEach = 20;
+  // Fills freed memory, so that reading it has an effect.
+  constexpr int kPerturb = 0xa5;
+  mallopt(M_PERTURB, kPerturb);
+  Endpoint sender;
+  std::vector<std::unique_ptr<ClosingPeer>> peers;
+  for (unsigned index = 0; index < kPeers; index++) {
+    peers.push_back(std::make_unique<ClosingPeer>());
+  }
+  for (const auto& peer : peers) {
+    while (peer->Closed() < kClosedByEach) {
+      for (const auto& each : peers) {
+        sender.transport_->Send(each->Address(), "message");
+      }
+      std::this_thread::sleep_for(std::chrono::microseconds(50));
+    }
+  }
+  mallopt(M_PERTURB, 0);
+}
+
 } // namespace
 } // namespace ibisrock::adapters
