--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -91,7 +91,7 @@
   adapters::HttpObjectStore store(aSettings.platformAddress_);
   adapters::HttpInstanceList instances(aSettings.platformAddress_);
   const InstanceIdentity self{ InstanceId(aSettings.instance_),
-                               PeerAddress(aSettings.peerAddress_),
+                               PeerAddress(aSettings.peerAdvertised_),
                                DataCentre(aSettings.dataCentre_),
                                CurrentIncarnation() };
   adapters::PrometheusMetrics metrics;
--- a/src/daemon/setting_table.cpp
+++ b/src/daemon/setting_table.cpp
@@ -16,6 +16,7 @@
 /// Each request of a caller and each attempt to a target holds a thread. More than this in one process exceeds the
 /// memory of a small instance.
 constexpr unsigned kMostThreads = 4096;
+constexpr const char* kSameAddress = "peer-listen";
 constexpr std::array kLogLevels{ "debug", "info", "warning", "error" };
 
 /// Names appear in logs, metric labels and store keys, so they are limited to characters that need no escape.
@@ -46,6 +47,17 @@
   return true;
 }
 
+/// The default stands for the value of --peer-listen, which comes before it in the table.
+bool
+ParseAdvertised(const SettingSpec& aSpec, const std::string& aText, Settings& aSettings, LastReason& aReason)
+{
+  if (aText == kSameAddress) {
+    aSettings.*aSpec.text_ = aSettings.peerAddress_;
+    return true;
+  }
+  return ParseAddress(aSpec, aText, aSettings, aReason);
+}
+
 bool
 ParseLogLevel(const SettingSpec& aSpec, const std::string& aText, Settings& aSettings, LastReason& aReason)
 {
@@ -164,6 +176,12 @@
   NameSpec("--data-centre", "Data centre of this instance.", &Settings::dataCentre_),
   AddressSpec("--listen", "Address for callers and operators (HTTP).", &Settings::callerAddress_),
   AddressSpec("--peer-listen", "Address for other instances (nng).", &Settings::peerAddress_),
+  { .flag_ = "--peer-advertise",
+    .argument_ = "IP:PORT",
+    .help_ = "Address at which other instances reach --peer-listen.",
+    .default_ = kSameAddress,
+    .parse_ = &ParseAdvertised,
+    .text_ = &Settings::peerAdvertised_ },
   AddressSpec("--platform", "Address of the platform's object API and instance list.", &Settings::platformAddress_),
   CountSpec("--min-threads",
             "Threads for callers that are kept when idle.",
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,6 +18,8 @@
   std::string dataCentre_;
   std::string callerAddress_;
   std::string peerAddress_;
+  /// Address at which other instances reach peerAddress_; the same unless something forwards between them.
+  std::string peerAdvertised_;
   std::string platformAddress_;
   unsigned minThreads_ = 0;
   unsigned maxCallers_ = 0;
--- a/src/standin/target_standin.cpp
+++ b/src/standin/target_standin.cpp
@@ -33,8 +33,9 @@
 
 } // namespace
 
-TargetStandin::TargetStandin(TargetBehaviour aBehaviour, std::function<void()> aCrash)
+TargetStandin::TargetStandin(TargetBehaviour aBehaviour, std::function<void()> aCrash, std::shared_ptr<RunLog> aRunLog)
   : crash_(std::move(aCrash))
+  , runLog_(std::move(aRunLog))
   , behaviour_(std::move(aBehaviour))
 {
   Restart();
@@ -196,6 +197,10 @@
 HttpReply
 TargetStandin::RunSearch(Lock& aLock, const std::string& aShard, const HttpRequest& aRequest)
 {
+  const std::string version = aRequest.header_(adapters::kIndexVersionHeader);
+  if (runLog_) {
+    runLog_->Add(aShard, version, aRequest.body_);
+  }
   if (!behaviour_.crashBody_.empty() && behaviour_.crashBody_ == aRequest.body_) {
     counters_.crashed_++;
     if (crash_) {
@@ -215,10 +220,11 @@
     return Describe(Text(504, "stopped\n"), State());
   }
   counters_.ran_++;
-  const nlohmann::json match = { { "id", aShard + "/" + aRequest.body_ }, { "text", "match in " + aShard } };
+  const nlohmann::json match = { { "id", aShard + "/" + aRequest.body_ },
+                                 { "text", "match in " + aShard + " of index version " + version } };
   HttpReply reply =
     Describe({ 200, "application/json", {}, nlohmann::json{ { "matches", { match } } }.dump() }, State());
-  reply.headers_[adapters::kIndexVersionHeader] = aRequest.header_(adapters::kIndexVersionHeader);
+  reply.headers_[adapters::kIndexVersionHeader] = version;
   return reply;
 }
 
--- a/src/standin/target_standin.h
+++ b/src/standin/target_standin.h
@@ -3,12 +3,14 @@
 
 #include "adapters/http_server.h"
 #include "base/random.h"
+#include "standin/run_log.h"
 #include "standin/target_behaviour.h"
 
 #include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -29,13 +31,17 @@
   uint64_t crashed_ = 0;
 };
 
-/// A stand-in for a target, for tests and trials. It answers each query with one match named for its shard. PUT /admin
+/// A stand-in for a target, for tests and trials. It answers each query with one match named for its shard
+/// and index version. PUT /admin
 /// with JSON changes its behaviour, POST /restart gives it a new boot id, GET /admin returns the counters. Thread-safe.
 class TargetStandin
 {
 public:
-  /// aCrash ends the process or what stands for it; when it returns, the request is answered with status 500.
-  explicit TargetStandin(TargetBehaviour aBehaviour, std::function<void()> aCrash = nullptr);
+  /// aCrash ends the process or what stands for it; when it returns, the request is answered with status 500. Each run
+  /// is added to aRunLog when it begins; no log when it is null.
+  explicit TargetStandin(TargetBehaviour aBehaviour,
+                         std::function<void()> aCrash = nullptr,
+                         std::shared_ptr<RunLog> aRunLog = nullptr);
 
   adapters::HttpReply Handle(const adapters::HttpRequest& aRequest);
 
@@ -58,6 +64,7 @@
   std::string Counters() const;
 
   const std::function<void()> crash_;
+  const std::shared_ptr<RunLog> runLog_;
   std::mutex mutex_;
   std::condition_variable changed_;
   TargetBehaviour behaviour_;
--- a/tests/daemon_settings_test.cpp
+++ b/tests/daemon_settings_test.cpp
@@ -52,6 +52,7 @@
     FaultCase{ "NoPort", "IBISROCK_LISTEN", "127.0.0.1", "--listen", "not an IPv4" },
     FaultCase{ "PortTooLarge", "IBISROCK_LISTEN", "127.0.0.1:65536", "--listen", "not an IPv4" },
     FaultCase{ "HostName", "IBISROCK_PLATFORM", "localhost:1", "--platform", "not an IPv4" },
+    FaultCase{ "AdvertiseNoPort", "IBISROCK_PEER_ADVERTISE", "127.0.0.1", "--peer-advertise", "not an IPv4" },
     FaultCase{ "DrainBelowZero", "IBISROCK_DRAIN_TIME", "-1s", "--drain-time", "below zero" },
     FaultCase{ "DrainWithoutUnit", "IBISROCK_DRAIN_TIME", "3", "--drain-time", "unit us, ms, s or min" },
     FaultCase{ "DrainBadUnit", "IBISROCK_DRAIN_TIME", "3h", "--drain-time", "unit us, ms, s or min" },
@@ -91,6 +92,19 @@
   EXPECT_EQ(line->settings_.instance_, "entry-0");
 }
 
+// Guards against an instance that tells its peers an address at which they cannot reach it.
+TEST(Settings, AdvertisesThePeerAddressUnlessAnotherIsGiven)
+{
+  std::vector<SettingFault> faults;
+  auto line = ReadCommandLine({}, Required(), faults);
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->settings_.peerAdvertised_, "127.0.0.1:8081");
+  line = ReadCommandLine({ "--peer-advertise", "127.0.0.1:9000" }, Required(), faults);
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->settings_.peerAdvertised_, "127.0.0.1:9000");
+  EXPECT_EQ(line->settings_.peerAddress_, "127.0.0.1:8081");
+}
+
 struct TaskCase
 {
   const char* name_;
