--- a/scripts/rolling-replace.sh
+++ b/scripts/rolling-replace.sh
@@ -34,7 +34,7 @@
 done
 
 for i in 0 1 2 3 4 5 6; do
-  pid=$(pgrep -f -- "--instance entry-$i ")
+  pid=${process[entry-$i]}
   kill -TERM "$pid"
   sleep 1
   tr ' ' '\n' <"$live" | grep -vx "$i" | paste -sd ' ' >"$live.next"
