--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -19,8 +19,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
-    listen(listener_, 8);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<const sockaddr*>(&address), size), 0);
+    EXPECT_EQ(listen(listener_, 8), 0);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
   }
