Give the served side of a test connection a name of its own

Cause: raw_connection.h and raw_target.h both defined ibisrock::RawConnection, and both are linked into one test program, which breaks the one-definition rule. Change: the class in raw_target.h is ServedConnection.

--- a/tests/object_store_test.cpp
+++ b/tests/object_store_test.cpp
@@ -12,14 +12,14 @@
 
 /// Keeps the connection open after the reply, and closes it without a reply to a second request.
 void
-AnswerFirst(RawConnection& aConnection)
+AnswerFirst(ServedConnection& aConnection)
 {
   aConnection.Write(kWritten);
   aConnection.ReadRequest();
 }
 
 void
-Refuse(RawConnection& aConnection)
+Refuse(ServedConnection& aConnection)
 {
   aConnection.Write("HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n");
 }
@@ -37,7 +37,7 @@
 struct PutCase
 {
   const char* name_;
-  void (*script_)(RawConnection&);
+  void (*script_)(ServedConnection&);
   StoreOutcome outcome_;
 };
 
@@ -61,7 +61,7 @@
                          PutOnSocket,
                          testing::Values(PutCase{ "KeptOpen", AnswerFirst, StoreOutcome::Ok },
                                          PutCase{ "Refused", Refuse, StoreOutcome::Unavailable },
-                                         PutCase{ "Closed", [](RawConnection&) {}, StoreOutcome::Unknown }),
+                                         PutCase{ "Closed", [](ServedConnection&) {}, StoreOutcome::Unknown }),
                          [](const auto& aInfo) { return std::string(aInfo.param.name_); });
 
 } // namespace
--- a/tests/raw_target.cpp
+++ b/tests/raw_target.cpp
@@ -16,7 +16,7 @@
 
 constexpr const char* kAddress = "127.0.0.1";
 
-class SocketConnection final : public RawConnection
+class SocketConnection final : public ServedConnection
 {
 public:
   SocketConnection(TcpServer& aServer, std::atomic<unsigned>& aSeen)
--- a/tests/raw_target.h
+++ b/tests/raw_target.h
@@ -8,10 +8,10 @@
 namespace ibisrock {
 
 /// The target's side of one connection.
-class RawConnection
+class ServedConnection
 {
 public:
-  virtual ~RawConnection() = default;
+  virtual ~ServedConnection() = default;
 
   /// Throws when the client has closed the connection.
   virtual void Write(const std::string& aText) = 0;
@@ -24,7 +24,7 @@
 {
 public:
   /// Acts on one whole request; the connection is closed afterwards.
-  using Script = std::function<void(RawConnection&)>;
+  using Script = std::function<void(ServedConnection&)>;
 
   /// Every request must end with this text.
   static constexpr const char* kEndOfBody = "<end>";
--- a/tests/target_client_test.cpp
+++ b/tests/target_client_test.cpp
@@ -23,26 +23,26 @@
 const std::string kWhole = R"({"matches":[{"id":"a","text":"x"}]})";
 
 void
-AnswerWhole(RawConnection& aConnection)
+AnswerWhole(ServedConnection& aConnection)
 {
   aConnection.Write(Reply("200 OK", kWhole, kWhole.size()));
 }
 
 void
-AnswerChunked(RawConnection& aConnection)
+AnswerChunked(ServedConnection& aConnection)
 {
   aConnection.Write("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n23\r\n" + kWhole +
                     "\r\n0\r\n\r\n");
 }
 
 void
-Truncate(RawConnection& aConnection)
+Truncate(ServedConnection& aConnection)
 {
   aConnection.Write(Reply("200 OK", kWhole, kWhole.size() + 1));
 }
 
 void
-Shed(RawConnection& aConnection)
+Shed(ServedConnection& aConnection)
 {
   aConnection.Write(std::string("HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n") + kNotRunHeader +
                     ": overloaded\r\n\r\n");
@@ -50,7 +50,7 @@
 
 /// Header names are compared without regard to case.
 void
-ShedInLowerCase(RawConnection& aConnection)
+ShedInLowerCase(ServedConnection& aConnection)
 {
   std::string name = kNotRunHeader;
   std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aChar) { return std::tolower(aChar); });
@@ -59,7 +59,7 @@
 
 /// Answers one request, reads the next one on the same connection and closes it without a reply.
 void
-AnswerThenClose(RawConnection& aConnection)
+AnswerThenClose(ServedConnection& aConnection)
 {
   aConnection.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kWhole.size()) + "\r\n\r\n" + kWhole);
   aConnection.ReadRequest();
@@ -67,7 +67,7 @@
 
 /// Sends bytes so often that no single read times out, until the client gives up.
 void
-Trickle(RawConnection& aConnection)
+Trickle(ServedConnection& aConnection)
 {
   aConnection.Write(Reply("200 OK", "", 1000000));
   while (true) {
@@ -99,7 +99,7 @@
 struct SocketCase
 {
   const char* name_;
-  void (*script_)(RawConnection&);
+  void (*script_)(ServedConnection&);
   Verdict verdict_;
   Reason reason_;
 };
@@ -132,7 +132,7 @@
                     SocketCase{ "Chunked", AnswerChunked, Verdict::Ran, Reason::None },
                     SocketCase{ "Shed", Shed, Verdict::NotRun, Reason::Overloaded },
                     SocketCase{ "ShedInLowerCase", ShedInLowerCase, Verdict::NotRun, Reason::Overloaded },
-                    SocketCase{ "Closed", [](RawConnection&) {}, Verdict::MayHaveRun, Reason::ConnectionLost },
+                    SocketCase{ "Closed", [](ServedConnection&) {}, Verdict::MayHaveRun, Reason::ConnectionLost },
                     SocketCase{ "Truncated", Truncate, Verdict::MayHaveRun, Reason::ConnectionLost },
                     SocketCase{ "Trickled", Trickle, Verdict::MayHaveRun, Reason::TimedOut }),
     testing::Bool()),
