Never say "not run" about a request whose key could not be read

Cause: a request with a key that was sent again was refused as not run when the store was down, when the write rate for keys was used up, or when admission refused it, although an earlier submission under the key had run. The statement was about the submission, but the caller asks about the request. The exploration named the case; the history checker looked at single submissions and passed over it. Change: a refusal of a request with a key before its record is read is MayHaveRun (504 in place of 503; 429, 404 and 422 keep their codes). The history checker and the explorer take all submissions under one key as one request. Tests: with the new checks and the old keeper, two explorations and the history scenarios "outages" and "mixed" fail. After: 465 tests pass. A bad history FalseNotRunOfResend and a wrong keeper SaysNotRunWithoutRecord are new; the wrong keepers of before now refuse with MayHaveRun, so that their second run stays their only fault. ClaimUnderStoreFault expected the untrue verdict and now expects MayHaveRun. The caller of a refused first submission is no longer told that it did not run; with its key it can send it again in any case.

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -99,7 +99,7 @@
   { 422, "the request is refused because it may crash targets" },
   { 429, "the service or the caller is over its limit" },
   { 503, "the request was not run" },
-  { 504, "the request may have run, but no shard replied in time" },
+  { 504, "the request may have run: no shard replied in time, or the record of its key was not read" },
 };
 
 const char*
--- a/src/history/checker.cpp
+++ b/src/history/checker.cpp
@@ -174,11 +174,19 @@
   }
 }
 
-/// P4: a request said to be not run was not run.
+/// P4: a request said to be not run was not run. All submissions under one key are one request.
 void
 Checker::CheckNotRun(const Submission& aSubmission, const ReceivedAnswer& aAnswer)
 {
-  if (aAnswer.verdict_ == Verdict::NotRun && executionsOfRequest_.contains(aAnswer.request_)) {
+  if (aAnswer.verdict_ != Verdict::NotRun) {
+    return;
+  }
+  const bool hasKey = !aSubmission.idempotent_ && !aSubmission.key_.IsEmpty();
+  const bool otherRan =
+    hasKey && std::any_of(history_.executions_.begin(), history_.executions_.end(), [&](const auto& aExecution) {
+      return aExecution.operation_ == aSubmission.operation_ && aExecution.at_ <= aAnswer.at_;
+    });
+  if (otherRan || executionsOfRequest_.contains(aAnswer.request_)) {
     Add("P4", Describe(aSubmission) + " was said to be not run, but a target ran it");
   }
 }
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -23,6 +23,21 @@
   return answer;
 }
 
+bool
+IsKeyed(const Query& aQuery)
+{
+  return !aQuery.idempotent_ && !aQuery.key_.IsEmpty();
+}
+
+/// A refusal before the record of the query's key was read. An earlier submission under the key may have run.
+Answer
+RefusalOf(const Query& aQuery, const RequestId& aId, Reason aReason)
+{
+  Answer answer = Refusal(aId, aReason);
+  answer.verdict_ = IsKeyed(aQuery) ? Verdict::MayHaveRun : Verdict::NotRun;
+  return answer;
+}
+
 } // namespace
 
 Coordinator::Coordinator(InstanceIdentity aSelf,
@@ -75,12 +90,12 @@
   const RequestId id{ self_.id_, self_.incarnation_, ++lastSequence_ };
   auto configuration = parts_.config_.Current();
   if (!configuration) {
-    aCallback(Refusal(id, Reason::NotReady));
+    aCallback(RefusalOf(aQuery, id, Reason::NotReady));
     return;
   }
   auto service = configuration->services_.find(aQuery.service_);
   if (service == configuration->services_.end()) {
-    aCallback(Refusal(id, Reason::UnknownService));
+    aCallback(RefusalOf(aQuery, id, Reason::UnknownService));
     return;
   }
   FollowMembership();
@@ -97,8 +112,7 @@
     return;
   }
   inFlight_++;
-  const bool keyed = !admitted->query_.idempotent_ && !admitted->query_.key_.IsEmpty();
-  if (keyed) {
+  if (IsKeyed(admitted->query_)) {
     ClaimKey(admitted);
   } else {
     StartRun(admitted);
@@ -111,14 +125,14 @@
 {
   const Query& query = aAdmitted->query_;
   if (auto refusal = admission_.Enter(*aAdmitted->service_, query.caller_)) {
-    Answer answer = Refusal(aAdmitted->id_, refusal->reason_);
+    Answer answer = RefusalOf(query, aAdmitted->id_, refusal->reason_);
     answer.retryAfter_ = refusal->retryAfter_;
     return answer;
   }
   const CrashDecision decision = parts_.crashGuard_.Check(QueryFingerprint(query.service_, query.body_));
   if (decision == CrashDecision::Refuse) {
     admission_.Leave(query.service_, query.caller_, {});
-    return Refusal(aAdmitted->id_, Reason::CrashSuspect);
+    return RefusalOf(query, aAdmitted->id_, Reason::CrashSuspect);
   }
   aAdmitted->canaryFirst_ = decision == CrashDecision::RunCanaryFirst;
   aAdmitted->inFlight_ = admission_.InFlight(query.service_);
--- a/src/process/idempotency.cpp
+++ b/src/process/idempotency.cpp
@@ -71,7 +71,7 @@
   }
   if (!allowed) {
     counters_.overBudget_++;
-    Refuse(run, Verdict::NotRun, Reason::OverLimit);
+    Refuse(run, Verdict::MayHaveRun, Reason::OverLimit);
     return;
   }
   Create(run);
@@ -101,7 +101,7 @@
       return;
     default:
       counters_.storeFailures_++;
-      Refuse(aRun, Verdict::NotRun, Reason::StoreUnavailable);
+      Refuse(aRun, Verdict::MayHaveRun, Reason::StoreUnavailable);
   }
 }
 
@@ -109,7 +109,7 @@
 IdempotencyKeeper::ReadRecord(const std::shared_ptr<ClaimRun>& aRun)
 {
   if (++aRun->steps_ > kMaxClaimSteps) {
-    Refuse(aRun, Verdict::NotRun, Reason::StoreUnavailable);
+    Refuse(aRun, Verdict::MayHaveRun, Reason::StoreUnavailable);
     return;
   }
   store_.Get(aRun->claim_.object_, [this, aRun](const StoreResult& aResult) { OnRecord(aRun, aResult); });
@@ -123,7 +123,7 @@
   auto record = aResult.outcome_ == StoreOutcome::Ok ? DecodeKeyRecord(aResult.value_, reason) : std::nullopt;
   if (!record) {
     counters_.storeFailures_++;
-    Refuse(aRun, Verdict::NotRun, Reason::StoreUnavailable);
+    Refuse(aRun, Verdict::MayHaveRun, Reason::StoreUnavailable);
     return;
   }
   const KeyRecord& ours = aRun->claim_.record_;
--- a/src/process/idempotency.h
+++ b/src/process/idempotency.h
@@ -51,7 +51,8 @@
 
   /// Share of the store's write rate that this instance may use; two writes for each keyed request.
   void SetWriteRate(PerSecond aRate);
-  /// Claims the query's key for a request. aCallback is called exactly once.
+  /// Claims the query's key for a request. aCallback is called exactly once. A refusal is NotRun only when the record
+  /// was read and shows it: without the record, an earlier submission under the key may have run.
   void Claim(const Query& aQuery, const RequestId& aRequest, std::function<void(KeyDecision)> aCallback);
   /// Records the outcome of a claimed request, or frees its key when it was proven not to have run.
   void Finish(const KeyClaim& aClaim, const Answer& aAnswer);
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -118,6 +118,22 @@
                    answer.covered_.clear();
                    answer.matches_.clear();
                  } },
+    CheckerCase{ "FalseNotRunOfResend",
+                 { "P4" },
+                 [](History& aHistory) {
+                   Submission& first = aHistory.submissions_[0];
+                   first.idempotent_ = false;
+                   first.key_ = IdempotencyKey("k");
+                   Submission resend = first;
+                   resend.id_ = SubmissionId(2);
+                   ReceivedAnswer& answer = resend.answers_[0];
+                   answer.request_.sequence_ = 2;
+                   answer.verdict_ = Verdict::NotRun;
+                   answer.covered_.clear();
+                   answer.missing_ = { kShardA, kShardB };
+                   answer.matches_.clear();
+                   aHistory.submissions_.push_back(resend);
+                 } },
     CheckerCase{ "SecondRun",
                  { "P5" },
                  [](History& aHistory) {
--- a/tests/exploration_test.cpp
+++ b/tests/exploration_test.cpp
@@ -70,10 +70,11 @@
 class WrongKeeper : public Keeper
 {
 public:
-  WrongKeeper(ObjectStore& aStore, std::set<StoreOutcome> aClaiming)
+  WrongKeeper(ObjectStore& aStore, std::set<StoreOutcome> aClaiming, Verdict aRefusal = Verdict::MayHaveRun)
     : store_(aStore)
     , claiming_(std::move(aClaiming))
   {
+    refusal_.verdict_ = aRefusal;
   }
 
   void Claim(const Query& aQuery, const RequestId& aRequest, ClaimCallback aCallback) override
@@ -86,7 +87,7 @@
         if (claiming_.contains(aR.outcome_)) {
           aCallback({ claim, std::nullopt });
         } else {
-          aCallback({ std::nullopt, Answer() });
+          aCallback({ std::nullopt, refusal_ });
         }
       });
   }
@@ -95,6 +96,7 @@
 private:
   ObjectStore& store_;
   const std::set<StoreOutcome> claiming_;
+  Answer refusal_;
 };
 
 /// Frees the key of a request that did not run by a write that expects whatever revision it has just read.
@@ -249,6 +251,9 @@
   answers_[aInstance]++;
   if (aAnswer.verdict_ == Verdict::NotRun) {
     saidNotRun_.insert(aRequest);
+    if (!ran_.empty()) {
+      Fail("a submission is said to be not run, but an earlier one under its key has run");
+    }
   }
   if (aAnswer.verdict_ == Verdict::Ran && ran_.empty()) {
     Fail("an answer says that the request ran, but it did not");
@@ -333,6 +338,8 @@
 struct WrongKeeperCase
 {
   const char* name_;
+  /// Part of the failure that the explorer must find.
+  const char* failure_;
   MakeKeeper make_;
 };
 
@@ -345,7 +352,7 @@
 {
   const ModelRun model = KeyedRequest(kTwoFaults, GetParam().make_);
   const Exploration exploration = ExploreAndRecord(model);
-  EXPECT_NE(exploration.failure_.find("ran twice"), std::string::npos);
+  EXPECT_NE(exploration.failure_.find(GetParam().failure_), std::string::npos);
   EXPECT_EQ(fakes::Replay(model, exploration.choices_), exploration.failure_);
 }
 
@@ -355,16 +362,24 @@
   testing::Values(
     WrongKeeperCase{
       "RunsAfterUnknownClaim",
+      "ran twice",
       [](TimerService&, ObjectStore& aStore) {
         return std::make_unique<WrongKeeper>(aStore, std::set{ StoreOutcome::Ok, StoreOutcome::Unknown });
       } },
     WrongKeeperCase{
       "RunsWithoutStore",
+      "ran twice",
       [](TimerService&, ObjectStore& aStore) {
         return std::make_unique<WrongKeeper>(aStore, std::set{ StoreOutcome::Ok, StoreOutcome::Unavailable });
       } },
+    WrongKeeperCase{ "SaysNotRunWithoutRecord",
+                     "said to be not run",
+                     [](TimerService&, ObjectStore& aStore) {
+                       return std::make_unique<WrongKeeper>(aStore, std::set{ StoreOutcome::Ok }, Verdict::NotRun);
+                     } },
     WrongKeeperCase{
       "ReleasesWithoutCondition",
+      "ran twice",
       [](TimerService& aTimers, ObjectStore& aStore) { return std::make_unique<ForgetfulKeeper>(aTimers, aStore); } }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
--- a/tests/idempotency_test.cpp
+++ b/tests/idempotency_test.cpp
@@ -105,14 +105,15 @@
   , public testing::WithParamInterface<StoreFaultCase>
 {};
 
-// Guards against a guess when the store is down, and against a claim that is lost with the store's answer.
+// Guards against a guess when the store is down, where an earlier submission under the key may have run, and against a
+// claim that is lost with the store's answer.
 TEST_P(ClaimUnderStoreFault, IsResolvedOrRefused)
 {
   store_.SetFaults(GetParam().faults_);
   const KeyDecision decision = Claim(first_, 1);
   EXPECT_EQ(decision.claim_.has_value(), GetParam().claimed_);
   if (!decision.claim_) {
-    EXPECT_EQ(decision.answer_->verdict_, Verdict::NotRun);
+    EXPECT_EQ(decision.answer_->verdict_, Verdict::MayHaveRun);
     EXPECT_EQ(decision.answer_->reason_, Reason::StoreUnavailable);
   }
 }
