Use standard names for gossip messages and connections to peers

Cause: two names needed explaining: Rumours for a message with gossip updates, Line for the socket of one connection. Change: wire::GossipMessage, OnGossipMessage and PeerConnection. No behaviour changes.

--- a/src/adapters/nng_transport.cpp
+++ b/src/adapters/nng_transport.cpp
@@ -50,29 +50,29 @@
 /// A dialled socket of one connection. When that connection is lost, the socket must not be used again: the push
 /// protocol of nng 1.5.2 puts a connection that closes while a send completes back into its list of ready connections,
 /// and the next send on the socket reads freed memory. nng reports the loss before it frees the connection.
-class Line
+class PeerConnection
 {
 public:
-  /// Dials without waiting. Returns no line when no socket can be made.
-  static std::unique_ptr<Line> Dial(const PeerAddress& aPeer)
+  /// Dials without waiting. Returns no connection when no socket can be made.
+  static std::unique_ptr<PeerConnection> Dial(const PeerAddress& aPeer)
   {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     if (nng_push0_open(&socket) != 0) {
       return nullptr;
     }
-    std::unique_ptr<Line> line(new Line(socket));
+    std::unique_ptr<PeerConnection> connection(new PeerConnection(socket));
     // Messages wait in NngTransport, where their age is bounded, and not in the socket.
     nng_socket_set_int(socket, NNG_OPT_SENDBUF, 0);
-    const bool dialled = nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, &OnLost, line.get()) == 0 &&
+    const bool dialled = nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, &OnLost, connection.get()) == 0 &&
                          nng_dial(socket, ("tcp://" + aPeer.Value()).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
-    return dialled ? std::move(line) : nullptr;
+    return dialled ? std::move(connection) : nullptr;
   }
 
   /// Waits until nng reports nothing more about the connection.
-  ~Line() { nng_close(socket_); }
+  ~PeerConnection() { nng_close(socket_); }
 
-  Line(const Line&) = delete;
-  Line& operator=(const Line&) = delete;
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
 
   bool IsLost()
   {
@@ -88,16 +88,16 @@
   }
 
 private:
-  explicit Line(nng_socket aSocket)
+  explicit PeerConnection(nng_socket aSocket)
     : socket_(aSocket)
   {
   }
 
-  static void OnLost(nng_pipe /*aPipe*/, nng_pipe_ev /*aEvent*/, void* aLine)
+  static void OnLost(nng_pipe /*aPipe*/, nng_pipe_ev /*aEvent*/, void* aConnection)
   {
-    auto* line = static_cast<Line*>(aLine);
-    const std::lock_guard lock(line->mutex_);
-    line->lost_ = true;
+    auto* connection = static_cast<PeerConnection*>(aConnection);
+    const std::lock_guard lock(connection->mutex_);
+    connection->lost_ = true;
   }
 
   const nng_socket socket_;
@@ -108,15 +108,15 @@
 
 } // namespace
 
-/// A peer and the messages that wait for it. Only the thread that has set scheduled_ sends on the line, until the peer
-/// is scheduled for the sending thread or has no messages.
+/// A peer and the messages that wait for it. Only the thread that has set scheduled_ sends on the connection, until the
+/// peer is scheduled for the sending thread or has no messages.
 struct NngTransport::Peer
 {
   const PeerAddress address_;
   std::mutex mutex_;
-  std::unique_ptr<Line> line_;
+  std::unique_ptr<PeerConnection> connection_;
   std::vector<std::string> queue_;
-  /// Messages taken from the queue that the line has not accepted yet. They count as queued.
+  /// Messages taken from the queue that the connection has not accepted yet. They count as queued.
   size_t sending_ = 0;
   /// Whether a thread serves the peer or it is in due_.
   bool scheduled_ = false;
@@ -133,11 +133,11 @@
   Peer(const Peer&) = delete;
   Peer& operator=(const Peer&) = delete;
 
-  /// Dials when there is no line and the time for it has come.
+  /// Dials when there is no connection and the time for it has come.
   void DialWhenDue(Clock::time_point aNow)
   {
-    if (!line_ && aNow >= redialAt_) {
-      line_ = Line::Dial(address_);
+    if (!connection_ && aNow >= redialAt_) {
+      connection_ = PeerConnection::Dial(address_);
       redialAt_ = aNow + kReconnectTime;
     }
   }
@@ -272,7 +272,7 @@
   {
     std::lock_guard lock(peer->mutex_);
     peer->DialWhenDue(now);
-    if (!peer->line_ || peer->queue_.size() + peer->sending_ >= kMaxQueuedMessages) {
+    if (!peer->connection_ || peer->queue_.size() + peer->sending_ >= kMaxQueuedMessages) {
       return false;
     }
     peer->queue_.push_back(std::move(aBytes));
@@ -280,8 +280,8 @@
     if (std::exchange(peer->scheduled_, true)) {
       return true;
     }
-    // A lost line is left to the sending thread, because closing it waits for nng.
-    flushAt = peer->line_->IsLost() ? now + kBatchTime : peer->lastFrame_ + kBatchTime;
+    // A lost connection is left to the sending thread, because closing it waits for nng.
+    flushAt = peer->connection_->IsLost() ? now + kBatchTime : peer->lastFrame_ + kBatchTime;
   }
   // Waking the sending thread twice for a message alone costs more than sending it.
   if (flushAt > now) {
@@ -351,28 +351,28 @@
 }
 
 /// Sends one frame to the peer. Messages that it does not accept go back to the head of the queue, or are dropped with
-/// the line when it has accepted none for too long. A lost line is replaced.
+/// the connection when it has accepted none for too long. A lost connection is replaced.
 void
 NngTransport::Flush(const std::shared_ptr<Peer>& aPeer)
 {
   std::vector<std::string> batch;
   // Closed after the lock is released, because closing waits for nng.
-  std::unique_ptr<Line> closed;
-  Line* line = nullptr;
+  std::unique_ptr<PeerConnection> closed;
+  PeerConnection* connection = nullptr;
   const auto begin = Clock::now();
   std::optional<Clock::time_point> redialAt;
   {
     std::lock_guard lock(aPeer->mutex_);
-    if (aPeer->line_ && aPeer->line_->IsLost()) {
-      closed = std::move(aPeer->line_);
+    if (aPeer->connection_ && aPeer->connection_->IsLost()) {
+      closed = std::move(aPeer->connection_);
     }
     if (aPeer->queue_.empty()) {
       aPeer->scheduled_ = false;
       return;
     }
     aPeer->DialWhenDue(begin);
-    line = aPeer->line_.get();
-    if (line == nullptr) {
+    connection = aPeer->connection_.get();
+    if (connection == nullptr) {
       redialAt = std::max(aPeer->redialAt_, begin + kFirstRetryTime);
     } else {
       batch = aPeer->TakeBatch();
@@ -384,7 +384,7 @@
     return;
   }
   std::string frame = EncodeFrame(batch);
-  const bool accepted = line->Send(frame);
+  const bool accepted = connection->Send(frame);
   (accepted ? frames_ : refusedFrames_)++;
   const auto now = Clock::now();
   std::optional<Clock::duration> retry;
@@ -400,7 +400,7 @@
     }
     if (!accepted && now - *aPeer->blockedSince_ >= kBlockedTime) {
       aPeer->queue_.clear();
-      closed = std::move(aPeer->line_);
+      closed = std::move(aPeer->connection_);
       aPeer->blockedSince_.reset();
       aPeer->redialAt_ = now + kRedialTime;
     } else if (!accepted) {
@@ -419,7 +419,7 @@
   }
 }
 
-/// Closes the lines of peers that nothing was sent to for long, and forgets peers without a line.
+/// Closes the connections of peers that nothing was sent to for long, and forgets peers without a connection.
 void
 NngTransport::CloseUnused()
 {
@@ -429,7 +429,7 @@
   for (auto entry = peers_.begin(); entry != peers_.end();) {
     std::lock_guard peerLock(entry->second->mutex_);
     const bool isIdle = !entry->second->scheduled_ && now - entry->second->lastUse_ >= kIdleTime;
-    const bool isClosed = !entry->second->scheduled_ && !entry->second->line_ && now >= entry->second->redialAt_;
+    const bool isClosed = !entry->second->scheduled_ && !entry->second->connection_ && now >= entry->second->redialAt_;
     if (isIdle || isClosed) {
       unused.push_back(entry->second);
       entry = peers_.erase(entry);
--- a/src/fakes/control_counter.cpp
+++ b/src/fakes/control_counter.cpp
@@ -18,9 +18,9 @@
 const char*
 ControlCounter::MessageName(size_t aKind)
 {
-  static constexpr std::array<const char*, kMessageKinds> kNames{ "SubRequest",  "SubReply",     "CancelAttempt",
-                                                                  "Rumours",     "Ping",         "Ack",
-                                                                  "PingRequest", "ConfigDigest", "ConfigFetch",
+  static constexpr std::array<const char*, kMessageKinds> kNames{ "SubRequest",    "SubReply",     "CancelAttempt",
+                                                                  "GossipMessage", "Ping",         "Ack",
+                                                                  "PingRequest",   "ConfigDigest", "ConfigFetch",
                                                                   "ConfigParts" };
   return kNames.at(aKind);
 }
--- a/src/fakes/fake_fleet.cpp
+++ b/src/fakes/fake_fleet.cpp
@@ -64,8 +64,8 @@
     prober_.OnAck(*ack);
   } else if (const auto* request = std::get_if<wire::PingRequest>(&envelope->body_)) {
     prober_.OnPingRequest(envelope->replyTo_, *request);
-  } else if (const auto* rumours = std::get_if<wire::Rumours>(&envelope->body_)) {
-    gossip_.OnRumours(*rumours);
+  } else if (const auto* message = std::get_if<wire::GossipMessage>(&envelope->body_)) {
+    gossip_.OnGossipMessage(*message);
   }
 }
 
--- a/src/process/gossip.cpp
+++ b/src/process/gossip.cpp
@@ -99,16 +99,16 @@
       return;
     }
     const size_t index = environment_.random_.Below(static_cast<uint32_t>(peers.size()));
-    send_(peers[index].address_, wire::Rumours{ std::move(updates) });
+    send_(peers[index].address_, wire::GossipMessage{ std::move(updates) });
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
   }
 }
 
 void
-Gossip::OnRumours(const wire::Rumours& aRumours)
+Gossip::OnGossipMessage(const wire::GossipMessage& aMessage)
 {
   bool urgent = false;
-  for (const wire::Update& update : aRumours.updates_) {
+  for (const wire::Update& update : aMessage.updates_) {
     bool isNews = false;
     for (const Handler& handler : handlers_) {
       isNews = handler(update) || isNews;
--- a/src/process/gossip.h
+++ b/src/process/gossip.h
@@ -26,7 +26,7 @@
   void Spread(const wire::Update& aUpdate);
   /// Adds an update to the next messages to peers without a message of its own.
   void Queue(const wire::Update& aUpdate);
-  void OnRumours(const wire::Rumours& aRumours);
+  void OnGossipMessage(const wire::GossipMessage& aMessage);
   /// Updates that ride on the next message to a peer, of bounded size.
   std::vector<wire::Update> TakeUpdates();
 
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -147,7 +147,7 @@
                  router_.OnSubReply(aReply);
                },
                [&](const wire::CancelAttempt& aCancel) { router_.OnCancel(aCancel); },
-               [&](const wire::Rumours& aRumours) { gossip_.OnRumours(aRumours); },
+               [&](const wire::GossipMessage& aMessage) { gossip_.OnGossipMessage(aMessage); },
                [&](const wire::Ping& aPing) { prober_.OnPing(envelope->replyTo_, aPing); },
                [&](const wire::Ack& aAck) {
                  router_.OnAnswer(envelope->replyTo_);
--- a/src/process/prober.cpp
+++ b/src/process/prober.cpp
@@ -251,9 +251,9 @@
 void
 Prober::TakeFrom(const wire::MemberUpdate& aSender, const std::vector<wire::Update>& aUpdates)
 {
-  wire::Rumours rumours{ aUpdates };
-  rumours.updates_.emplace_back(aSender);
-  gossip_.OnRumours(rumours);
+  wire::GossipMessage message{ aUpdates };
+  message.updates_.emplace_back(aSender);
+  gossip_.OnGossipMessage(message);
 }
 
 void
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -109,7 +109,7 @@
 using Update = std::variant<MemberUpdate, TargetUpdate, CrashUpdate, VersionUpdate>;
 
 /// Gossip updates, sent alone or with a probe.
-struct Rumours
+struct GossipMessage
 {
   std::vector<Update> updates_;
 };
@@ -176,8 +176,16 @@
   std::vector<StoredValue> values_;
 };
 
-using Body = std::
-  variant<SubRequest, SubReply, CancelAttempt, Rumours, Ping, Ack, PingRequest, ConfigDigest, ConfigFetch, ConfigParts>;
+using Body = std::variant<SubRequest,
+                          SubReply,
+                          CancelAttempt,
+                          GossipMessage,
+                          Ping,
+                          Ack,
+                          PingRequest,
+                          ConfigDigest,
+                          ConfigFetch,
+                          ConfigParts>;
 
 /// Every message between instances.
 struct Envelope
--- a/src/wire/msgpack_types.h
+++ b/src/wire/msgpack_types.h
@@ -156,7 +156,7 @@
 };
 
 template<>
-struct Fields<Rumours>
+struct Fields<GossipMessage>
 {
   static auto Tie(auto& aValue) { return std::tie(aValue.updates_); }
 };
--- a/tests/sheet_test.cpp
+++ b/tests/sheet_test.cpp
@@ -167,7 +167,7 @@
   const auto parsed = ParseSheet(sheet, faults);
   RC_ASSERT(parsed.has_value());
   wire::Envelope envelope;
-  envelope.body_ = wire::Rumours{ { wire::VersionUpdate{ "config/head", 7, PeerAddress("10.0.0.1:1") } } };
+  envelope.body_ = wire::GossipMessage{ { wire::VersionUpdate{ "config/head", 7, PeerAddress("10.0.0.1:1") } } };
   for (std::string text : { sheet, EncodeService(parsed->services_.begin()->second), wire::Encode(envelope) }) {
     const auto place = *rc::gen::inRange<size_t>(0, text.size());
     text[place] = static_cast<char>(aByte);
