--- /dev/null
+++ b/src/adapters/caller_server.h
@@ -0,0 +1,74 @@
+#ifndef IBISROCK_ADAPTERS_CALLER_SERVER_H
+#define IBISROCK_ADAPTERS_CALLER_SERVER_H
+
+#include "adapters/header_names.h"
+#include "adapters/socket_address.h"
+#include "base/last_reason.h"
+#include "base/timer_service.h"
+#include "version/route_table.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace ibisrock::adapters {
+
+class CallerConnection;
+
+/// Serves HTTP to callers on one event loop.
+class CallerServer
+{
+public:
+  using OnReply = std::function<void(CallerReply)>;
+  /// Told when the caller has left before the reply.
+  using OnLeft = std::function<void()>;
+  /// Takes a request. The reply may come at once; without a returned function nobody wants to know that the caller
+  /// left.
+  using Handler = std::function<OnLeft(std::shared_ptr<const CallerRequest>, OnReply)>;
+
+  static std::unique_ptr<CallerServer> Create(boost::asio::io_context& aLoop,
+                                              TimerService& aTimers,
+                                              const SocketAddress& aAddress,
+                                              HeaderNames aNames,
+                                              Handler aHandler,
+                                              LastReason& aReason);
+  ~CallerServer();
+
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  /// Limits for the requests that begin from now on.
+  void SetLimits(const CallerLimits& aLimits) { limits_ = aLimits; }
+  /// From now on every reply closes its connection.
+  void BeginDrain() { draining_ = true; }
+  /// Closes connections on which no request has begun.
+  void CloseIdle();
+  void StopAccepting();
+  size_t ConnectionCount() const { return connections_.size(); }
+  /// Whether a request is being read, served or answered.
+  bool IsBusy() const;
+  uint16_t Port() const;
+
+private:
+  friend class CallerConnection;
+
+  CallerServer(boost::asio::io_context& aLoop, TimerService& aTimers, HeaderNames aNames, Handler aHandler);
+  void Accept();
+  void Sweep();
+
+  boost::asio::io_context& loop_;
+  TimerService& timers_;
+  const HeaderNames names_;
+  const Handler handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  CallerLimits limits_;
+  bool draining_ = false;
+  std::unordered_set<std::shared_ptr<CallerConnection>> connections_;
+  TimerId sweepTimer_;
+};
+
+} // namespace ibisrock::adapters
+
+#endif
--- /dev/null
+++ b/src/adapters/http_target_link.cpp
@@ -0,0 +1,275 @@
+#include "adapters/http_target_link.h"
+
+#include <algorithm>
+
+namespace ibisrock::adapters {
+
+namespace {
+
+/// A connection takes a round trip and up to 6 ms of a slot of the target; a target that pauses adds up to 200 ms.
+constexpr Micros kConnectTimeout = Millis(400);
+/// Time for an abandoned call to end, so that its connection is kept. A new connection costs about as much of a slot as
+/// a short call, and a call that takes longer than this waits behind a pause or a queue.
+constexpr Micros kAbandonedTime = Millis(250);
+/// Part of the keep-alive time of a target after which a connection is not used any more, so that a request does not
+/// cross the target's close.
+constexpr double kKeepAliveShare = 0.7;
+/// Keep-alive time of targets that state none.
+constexpr Micros kDefaultKeepAlive = Seconds(20);
+
+TargetOutcome
+MakeFailure(Verdict aVerdict, Reason aReason)
+{
+  TargetOutcome outcome;
+  outcome.verdict_ = aVerdict;
+  outcome.reason_ = aReason;
+  return outcome;
+}
+
+} // namespace
+
+HttpTargetLink::HttpTargetLink(boost::asio::io_context& aLoop, TimerService& aTimers, HeaderNames aNames)
+  : loop_(aLoop)
+  , timers_(aTimers)
+  , names_(std::move(aNames))
+{
+}
+
+HttpTargetLink::~HttpTargetLink()
+{
+  for (auto& [id, call] : calls_) {
+    timers_.Cancel(call.timer_);
+    call.connection_->Close();
+  }
+  for (auto& [name, connections] : idle_) {
+    for (IdleConnection& idle : connections) {
+      idle.connection_->Close();
+    }
+  }
+}
+
+CallId
+HttpTargetLink::Send(const TargetCall& aCall, Callback aCallback)
+{
+  lastId_ = lastId_.Next();
+  const CallId id = lastId_;
+  Call& call = calls_[id];
+  call.call_ = aCall;
+  call.deadline_ = timers_.Now() + aCall.timeLeft_;
+  call.callback_ = std::move(aCallback);
+  call.connection_ = TakeIdle(aCall.target_);
+  if (call.connection_) {
+    Write(id, call);
+  } else {
+    OpenFor(id, call);
+  }
+  return id;
+}
+
+/// The connection that was used last, because the target closes those that are idle longest.
+HttpTargetLink::ConnectionPtr
+HttpTargetLink::TakeIdle(const TargetName& aTarget)
+{
+  auto found = idle_.find(aTarget);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  std::vector<IdleConnection>& connections = found->second;
+  while (!connections.empty()) {
+    IdleConnection idle = std::move(connections.back());
+    connections.pop_back();
+    if (idle.connection_->CanBeReused() && timers_.Now() < idle.usableUntil_) {
+      idle.connection_->SetOnClosed(nullptr);
+      return idle.connection_;
+    }
+    idle.connection_->Close();
+  }
+  return nullptr;
+}
+
+void
+HttpTargetLink::KeepIdle(const TargetName& aTarget, const ConnectionPtr& aConnection)
+{
+  const Micros keepAlive = aConnection->KeepAliveTime().value_or(kDefaultKeepAlive);
+  const Micros usable(static_cast<Micros::rep>(kKeepAliveShare * static_cast<double>(keepAlive.count())));
+  aConnection->SetOnClosed([this, aTarget, raw = aConnection.get()] {
+    auto found = idle_.find(aTarget);
+    if (found != idle_.end()) {
+      std::erase_if(found->second, [raw](const IdleConnection& aIdle) { return aIdle.connection_.get() == raw; });
+    }
+  });
+  idle_[aTarget].push_back({ aConnection, timers_.Now() + usable });
+}
+
+void
+HttpTargetLink::OpenFor(CallId aId, Call& aCall)
+{
+  aCall.connection_ = LoopHttpConnection::Create(loop_);
+  connectionsOpened_++;
+  aCall.timer_ = timers_.After(kConnectTimeout, [this, aId] { OnConnectTimeout(aId); });
+  LastReason reason;
+  auto address = ParseSocketAddress(aCall.call_.address_.Value(), reason);
+  aCall.connection_->Connect(address.value_or(SocketAddress()),
+                             [this, aId](bool aIsConnected) { OnConnected(aId, aIsConnected); });
+}
+
+void
+HttpTargetLink::OnConnected(CallId aId, bool aIsConnected)
+{
+  auto found = calls_.find(aId);
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = found->second;
+  timers_.Cancel(call.timer_);
+  if (!aIsConnected) {
+    End(aId, MakeFailure(Verdict::NotRun, Reason::ConnectFailed));
+  } else if (!call.callback_) {
+    // Abandoned before it was sent: the connection serves the next call.
+    KeepIdle(call.call_.target_, call.connection_);
+    calls_.erase(found);
+  } else {
+    Write(aId, call);
+  }
+}
+
+void
+HttpTargetLink::OnConnectTimeout(CallId aId)
+{
+  calls_.at(aId).connection_->Close();
+  End(aId, MakeFailure(Verdict::NotRun, Reason::ConnectFailed));
+}
+
+void
+HttpTargetLink::Write(CallId aId, Call& aCall)
+{
+  aCall.sent_ = true;
+  auto belongs = [this, id = aCall.call_.request_->id_](const ServerReply& aReply) {
+    const std::string_view echoed = aReply.Field(names_.requestId_);
+    return echoed.empty() || echoed == id;
+  };
+  aCall.connection_->Exchange(
+    MakeRequest(aCall), std::move(belongs), [this, aId](std::optional<ServerReply> aReply, const LastReason&) {
+      OnReply(aId, std::move(aReply));
+    });
+}
+
+RequestText
+HttpTargetLink::MakeRequest(const Call& aCall) const
+{
+  const CallerRequest& request = *aCall.call_.request_;
+  RequestText text;
+  std::string& head = text.head_;
+  head.reserve(256);
+  head.append(request.method_).append(" ").append(request.target_).append(" HTTP/1.1\r\n");
+  AppendField(head, "Host", request.host_);
+  if (!request.id_.empty()) {
+    AppendField(head, names_.requestId_, request.id_);
+  }
+  const auto left = std::chrono::duration_cast<Millis>(aCall.deadline_ - timers_.Now());
+  AppendField(head, names_.timeLeft_, std::to_string(std::max<Millis::rep>(left.count(), 1)));
+  AppendField(head, names_.expectedTarget_, aCall.call_.target_.Value());
+  for (const HeaderField& field : request.fields_) {
+    AppendField(head, field.name_, field.value_);
+  }
+  const bool hasBody = request.body_ && !request.body_->empty();
+  if (hasBody || (request.method_ != "GET" && request.method_ != "HEAD")) {
+    AppendField(head, "Content-Length", std::to_string(hasBody ? request.body_->size() : 0));
+  }
+  head += "\r\n";
+  text.body_ = request.body_;
+  text.expectsNoBody_ = request.method_ == "HEAD";
+  return text;
+}
+
+void
+HttpTargetLink::OnReply(CallId aId, std::optional<ServerReply> aReply)
+{
+  const Call& call = calls_.at(aId);
+  if (!aReply) {
+    End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
+    return;
+  }
+  if (call.connection_->CanBeReused()) {
+    KeepIdle(call.call_.target_, call.connection_);
+  }
+  End(aId, Judge(std::move(*aReply)));
+}
+
+/// What a complete reply says of the request.
+TargetOutcome
+HttpTargetLink::Judge(ServerReply aReply) const
+{
+  if (aReply.status_ == 421) {
+    return MakeFailure(Verdict::NotRun, Reason::NotOwner);
+  }
+  if (!aReply.Field(names_.notRun_).empty()) {
+    return MakeFailure(Verdict::NotRun, Reason::Overloaded);
+  }
+  if (!aReply.Field("Content-Encoding").empty()) {
+    return MakeFailure(Verdict::MayHaveRun, Reason::TargetError);
+  }
+  TargetOutcome outcome;
+  outcome.verdict_ = Verdict::Ran;
+  outcome.reason_ = aReply.status_ < 500 ? Reason::None : Reason::TargetError;
+  outcome.status_ = aReply.status_;
+  outcome.stamp_ = aReply.Field(names_.stamp_);
+  outcome.body_ = aReply.body_;
+  const std::string connection(aReply.Field("Connection"));
+  for (HeaderField& field : aReply.fields_) {
+    if (!IsHopByHop(field.name_, connection)) {
+      outcome.fields_.push_back(std::move(field));
+    }
+  }
+  return outcome;
+}
+
+void
+HttpTargetLink::End(CallId aId, TargetOutcome aOutcome)
+{
+  auto found = calls_.find(aId);
+  timers_.Cancel(found->second.timer_);
+  Callback callback = std::move(found->second.callback_);
+  calls_.erase(found);
+  if (callback) {
+    callback(std::move(aOutcome));
+  }
+}
+
+void
+HttpTargetLink::AbandonCall(CallId aId, Abandon aHow)
+{
+  auto found = calls_.find(aId);
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.callback_ = nullptr;
+  if (!call.sent_) {
+    return;
+  }
+  if (aHow == Abandon::Stop) {
+    call.connection_->Close();
+    calls_.erase(found);
+    return;
+  }
+  call.timer_ = timers_.After(kAbandonedTime, [this, aId] {
+    calls_.at(aId).connection_->Close();
+    calls_.erase(aId);
+  });
+}
+
+void
+HttpTargetLink::Forget(const TargetName& aTarget)
+{
+  auto found = idle_.find(aTarget);
+  if (found == idle_.end()) {
+    return;
+  }
+  for (IdleConnection& idle : found->second) {
+    idle.connection_->Close();
+  }
+  idle_.erase(found);
+}
+
+} // namespace ibisrock::adapters
--- /dev/null
+++ b/src/adapters/loop_http_connection.cpp
@@ -0,0 +1,286 @@
+#include "adapters/loop_http_connection.h"
+
+#include "adapters/header_names.h"
+#include "adapters/read_buffer.h"
+
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace ibisrock::adapters {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Replies of targets are a few kilobytes; lists of the platform reach a megabyte.
+constexpr uint64_t kLargestBody = 16 << 20;
+constexpr uint32_t kLargestHeader = 64 << 10;
+
+/// Reads "timeout=5" of a Keep-Alive field.
+std::optional<Micros>
+ParseKeepAlive(std::string_view aText)
+{
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = aText.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const char* first = aText.data() + at + kName.size();
+  unsigned seconds = 0;
+  auto [end, error] = std::from_chars(first, aText.data() + aText.size(), seconds);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  return Seconds(seconds);
+}
+
+} // namespace
+
+std::string_view
+ServerReply::Field(std::string_view aName) const
+{
+  for (const HeaderField& field : fields_) {
+    if (IsSameName(field.name_, aName)) {
+      return field.value_;
+    }
+  }
+  return {};
+}
+
+std::shared_ptr<LoopHttpConnection>
+LoopHttpConnection::Create(asio::io_context& aLoop)
+{
+  return std::make_shared<LoopHttpConnection>(aLoop);
+}
+
+LoopHttpConnection::LoopHttpConnection(asio::io_context& aLoop)
+  : loop_(aLoop)
+  , socket_(aLoop)
+{
+}
+
+void
+LoopHttpConnection::Connect(const SocketAddress& aAddress, OnConnected aOnConnected)
+{
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(aAddress.ip_, error);
+  if (error) {
+    asio::post(loop_, [aOnConnected] { aOnConnected(false); });
+    return;
+  }
+  socket_.async_connect({ ip, aAddress.port_ },
+                        [self = shared_from_this(), aOnConnected](const boost::system::error_code& aError) {
+                          if (aError == asio::error::operation_aborted) {
+                            return;
+                          }
+                          if (aError) {
+                            aOnConnected(false);
+                            return;
+                          }
+                          boost::system::error_code ignored;
+                          self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+                          self->socket_.non_blocking(true, ignored);
+                          self->open_ = true;
+                          self->reusable_ = true;
+                          self->WaitReadable();
+                          aOnConnected(true);
+                        });
+}
+
+void
+LoopHttpConnection::Exchange(RequestText aRequest, BelongsToRequest aBelongs, OnReply aOnReply)
+{
+  request_ = std::move(aRequest);
+  belongs_ = std::move(aBelongs);
+  onReply_ = std::move(aOnReply);
+  expectsNoBody_ = request_.expectsNoBody_;
+  sent_ = true;
+  reusable_ = false;
+  NewParser();
+  static const std::string kEmpty;
+  const std::string& body = request_.body_ ? *request_.body_ : kEmpty;
+  const std::array<asio::const_buffer, 2> buffers{ asio::buffer(request_.head_), asio::buffer(body) };
+  writing_ = true;
+  // A failed write is not reported: the server may have answered before, and the reading side sees the loss as well.
+  asio::async_write(socket_, buffers, [self = shared_from_this()](const boost::system::error_code& aError, size_t) {
+    self->writing_ = static_cast<bool>(aError);
+  });
+}
+
+void
+LoopHttpConnection::NewParser()
+{
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->body_limit(kLargestBody);
+  parser_->header_limit(kLargestHeader);
+  parser_->skip(expectsNoBody_);
+}
+
+void
+LoopHttpConnection::WaitReadable()
+{
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const boost::system::error_code& aError) {
+                       if (!aError && self->open_) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void
+LoopHttpConnection::OnReadable()
+{
+  boost::system::error_code error;
+  const std::span<char> buffer = SharedReadBuffer();
+  const size_t count = socket_.read_some(asio::buffer(buffer.data(), buffer.size()), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    WaitReadable();
+    return;
+  }
+  if (error) {
+    OnEndOfStream(error == asio::error::eof ? "" : error.message());
+    return;
+  }
+  auto self = shared_from_this();
+  Consume({ buffer.data(), count });
+  if (open_) {
+    WaitReadable();
+  }
+}
+
+void
+LoopHttpConnection::Consume(std::string_view aBytes)
+{
+  if (!onReply_) {
+    Fail("bytes that nothing asked for");
+    return;
+  }
+  // The parser needs a header in one piece, so an incomplete one is kept until the rest has come.
+  std::string joined;
+  if (!pending_.empty()) {
+    joined = std::move(pending_);
+    pending_.clear();
+    joined += aBytes;
+    aBytes = joined;
+  }
+  while (!aBytes.empty() && open_ && onReply_) {
+    boost::system::error_code error;
+    const size_t taken = parser_->put(asio::buffer(aBytes.data(), aBytes.size()), error);
+    aBytes.remove_prefix(taken);
+    if (error == http::error::need_more) {
+      pending_ = aBytes;
+      return;
+    }
+    if (error) {
+      Fail(error.message());
+      return;
+    }
+    if (parser_->is_done()) {
+      reusable_ = parser_->get().keep_alive();
+      pending_ = aBytes;
+      OnParsed();
+      aBytes = {};
+    }
+  }
+}
+
+/// The server has closed its side. aWhy is empty when it did so in order, which ends a reply without a length.
+void
+LoopHttpConnection::OnEndOfStream(const std::string& aWhy)
+{
+  if (onReply_ && parser_ && aWhy.empty()) {
+    boost::system::error_code error;
+    parser_->put_eof(error);
+    if (!error && parser_->is_done()) {
+      reusable_ = false;
+      OnParsed();
+      return;
+    }
+  }
+  Fail(aWhy.empty() ? "closed by the server" : aWhy);
+}
+
+void
+LoopHttpConnection::OnParsed()
+{
+  if (parser_->get().result_int() / 100 == 1) {
+    std::string rest = std::move(pending_);
+    pending_.clear();
+    NewParser();
+    if (!rest.empty()) {
+      Consume(rest);
+    }
+    return;
+  }
+  TakeReply();
+}
+
+void
+LoopHttpConnection::TakeReply()
+{
+  auto message = parser_->release();
+  parser_.reset();
+  ServerReply reply;
+  reply.status_ = message.result_int();
+  for (const auto& field : message) {
+    reply.fields_.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  reply.body_ = std::make_shared<std::string>(std::move(message.body()));
+  keepAliveTime_ = ParseKeepAlive(reply.Field("Keep-Alive"));
+  std::string rest = std::move(pending_);
+  pending_.clear();
+  if (belongs_ && !belongs_(reply)) {
+    if (!reusable_) {
+      Fail("the only reply belongs to another request");
+      return;
+    }
+    NewParser();
+    if (!rest.empty()) {
+      Consume(rest);
+    }
+    return;
+  }
+  // Bytes after a complete reply belong to no request. A server that has replied before it read the whole request would
+  // take the next request for the rest of it.
+  const bool keep = reusable_ && rest.empty() && !writing_;
+  auto self = shared_from_this();
+  OnReply onReply = std::move(onReply_);
+  onReply_ = nullptr;
+  sent_ = false;
+  if (!keep) {
+    Close();
+  }
+  onReply(std::move(reply), {});
+}
+
+void
+LoopHttpConnection::Fail(const std::string& aWhy)
+{
+  auto self = shared_from_this();
+  OnReply onReply = std::move(onReply_);
+  OnClosed onClosed = std::move(onClosed_);
+  Close();
+  if (onReply) {
+    LastReason reason;
+    reason.Set(aWhy);
+    onReply(std::nullopt, reason);
+  } else if (onClosed) {
+    onClosed();
+  }
+}
+
+void
+LoopHttpConnection::Close()
+{
+  open_ = false;
+  reusable_ = false;
+  onReply_ = nullptr;
+  onClosed_ = nullptr;
+  belongs_ = nullptr;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+} // namespace ibisrock::adapters
--- /dev/null
+++ b/src/adapters/loop_http_connection.h
@@ -0,0 +1,101 @@
+#ifndef IBISROCK_ADAPTERS_LOOP_HTTP_CONNECTION_H
+#define IBISROCK_ADAPTERS_LOOP_HTTP_CONNECTION_H
+
+#include "adapters/socket_address.h"
+#include "base/http_message.h"
+#include "base/last_reason.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ibisrock::adapters {
+
+/// A complete reply of a server.
+struct ServerReply
+{
+  unsigned status_ = 0;
+  /// All fields as they came.
+  std::vector<HeaderField> fields_;
+  std::shared_ptr<const std::string> body_;
+
+  /// Value of a field, or an empty text.
+  std::string_view Field(std::string_view aName) const;
+};
+
+/// Text of a request. The head ends with an empty line.
+struct RequestText
+{
+  std::string head_;
+  std::shared_ptr<const std::string> body_;
+  bool expectsNoBody_ = false;
+};
+
+/// One HTTP connection to a server on an event loop. Sends each request at most once, and reads all the time, so that a
+/// close by the server is noticed at once. No time-outs of its own: its owner calls Close. Used on one thread.
+class LoopHttpConnection : public std::enable_shared_from_this<LoopHttpConnection>
+{
+public:
+  using OnConnected = std::function<void(bool aIsConnected)>;
+  /// Receives the reply, or no value and why the connection was lost.
+  using OnReply = std::function<void(std::optional<ServerReply>, const LastReason&)>;
+  /// Tells whether a reply belongs to the request. One that does not is dropped, and the next one is read.
+  using BelongsToRequest = std::function<bool(const ServerReply&)>;
+  using OnClosed = std::function<void()>;
+
+  static std::shared_ptr<LoopHttpConnection> Create(boost::asio::io_context& aLoop);
+  explicit LoopHttpConnection(boost::asio::io_context& aLoop);
+
+  void Connect(const SocketAddress& aAddress, OnConnected aOnConnected);
+  /// Sends a request. The connection must be connected and idle.
+  void Exchange(RequestText aRequest, BelongsToRequest aBelongs, OnReply aOnReply);
+  /// Called when an idle connection was closed by the server or got bytes that nothing asked for.
+  void SetOnClosed(OnClosed aOnClosed) { onClosed_ = std::move(aOnClosed); }
+  /// Closes without any further callback.
+  void Close();
+
+  bool IsOpen() const { return open_; }
+  /// Whether another request may be sent: the last reply was complete and kept the connection.
+  bool CanBeReused() const { return open_ && !onReply_ && reusable_; }
+  /// Whether a request was written, at least in part, on the open connection since the last reply.
+  bool HasSent() const { return sent_; }
+  /// Time that the server keeps the idle connection, if it said so.
+  std::optional<Micros> KeepAliveTime() const { return keepAliveTime_; }
+
+private:
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void WaitReadable();
+  void OnReadable();
+  void Consume(std::string_view aBytes);
+  void OnEndOfStream(const std::string& aWhy);
+  void OnParsed();
+  void TakeReply();
+  void NewParser();
+  void Fail(const std::string& aWhy);
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::socket socket_;
+  bool open_ = false;
+  bool reusable_ = false;
+  bool sent_ = false;
+  bool writing_ = false;
+  bool expectsNoBody_ = false;
+  RequestText request_;
+  std::optional<Parser> parser_;
+  /// Bytes that the parser has not taken yet, because a header is incomplete.
+  std::string pending_;
+  std::optional<Micros> keepAliveTime_;
+  BelongsToRequest belongs_;
+  OnReply onReply_;
+  OnClosed onClosed_;
+};
+
+} // namespace ibisrock::adapters
+
+#endif
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -79,6 +79,9 @@
 /// Identifies one run of a target process; it changes at each restart.
 using BootId = StringId<struct BootIdTag>;
 using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
+/// A set of interchangeable targets. A route relays to one pool, or gathers from several, one for each shard.
+using PoolName = StringId<struct PoolNameTag>;
+using RouteName = StringId<struct RouteNameTag>;
 
 using IndexVersion = NumberId<struct IndexVersionTag>;
 using ConfigVersion = NumberId<struct ConfigVersionTag>;
@@ -89,6 +92,10 @@
 /// Version of one object in the platform's object API.
 using StoreRevision = NumberId<struct StoreRevisionTag>;
 using TimerId = NumberId<struct TimerIdTag>;
+/// One call to a target on a TargetLink.
+using CallId = NumberId<struct CallIdTag>;
+/// One request of a caller in a router.
+using RunId = NumberId<struct RunIdTag>;
 
 /// Identifies one query run. The incarnation keeps a restarted instance from reusing an id.
 struct RequestId
--- /dev/null
+++ b/src/base/target_link.h
@@ -0,0 +1,64 @@
+#ifndef IBISROCK_BASE_TARGET_LINK_H
+#define IBISROCK_BASE_TARGET_LINK_H
+
+#include "base/http_message.h"
+#include "base/ids.h"
+#include "base/verdict.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ibisrock {
+
+/// A caller's request on its way to one target.
+struct TargetCall
+{
+  TargetName target_;
+  TargetAddress address_;
+  std::shared_ptr<const CallerRequest> request_;
+  /// Time that the target may use; it stops work after it.
+  Micros timeLeft_{};
+};
+
+/// Outcome of a call. With Verdict::Ran the reply is complete and belongs to the request.
+struct TargetOutcome
+{
+  Verdict verdict_ = Verdict::MayHaveRun;
+  Reason reason_ = Reason::None;
+  unsigned status_ = 0;
+  /// Fields to pass on, the stamp included.
+  std::vector<HeaderField> fields_;
+  /// The target's proof that it made this reply; empty without one.
+  std::string stamp_;
+  std::shared_ptr<const std::string> body_;
+};
+
+/// What becomes of a call whose outcome is no longer wanted.
+enum class Abandon : uint8_t
+{
+  /// The target may finish, so that its connection can be used again.
+  LetFinish,
+  /// The connection is closed, so that the target stops work.
+  Stop,
+};
+
+/// Sends requests to targets over kept connections. Every call is sent at most once. Used on one thread.
+class TargetLink
+{
+public:
+  using Callback = std::function<void(TargetOutcome)>;
+
+  virtual ~TargetLink() = default;
+
+  /// Starts a call. aCallback is called once, never from within Send, unless the call is abandoned first.
+  virtual CallId Send(const TargetCall& aCall, Callback aCallback) = 0;
+  virtual void AbandonCall(CallId aId, Abandon aHow) = 0;
+  /// Closes the idle connections to a target that is gone.
+  virtual void Forget(const TargetName& aTarget) = 0;
+};
+
+} // namespace ibisrock
+
+#endif
--- a/src/daemon/unit_text.cpp
+++ b/src/base/unit_text.cpp
@@ -1,10 +1,10 @@
-#include "daemon/unit_text.h"
+#include "base/unit_text.h"
 
 #include <charconv>
 #include <limits>
 #include <span>
 
-namespace ibisrock::daemon {
+namespace ibisrock {
 
 namespace {
 
@@ -72,4 +72,4 @@
   return ParseWithUnit(aText, kSizeUnits, "a whole number with the unit B, KiB or MiB", aReason);
 }
 
-} // namespace ibisrock::daemon
+} // namespace ibisrock
--- a/src/daemon/unit_text.h
+++ b/src/base/unit_text.h
@@ -1,5 +1,5 @@
-#ifndef IBISROCK_DAEMON_UNIT_TEXT_H
-#define IBISROCK_DAEMON_UNIT_TEXT_H
+#ifndef IBISROCK_BASE_UNIT_TEXT_H
+#define IBISROCK_BASE_UNIT_TEXT_H
 
 #include "base/last_reason.h"
 #include "base/units.h"
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-namespace ibisrock::daemon {
+namespace ibisrock {
 
 /// Reads a whole number without a unit. Returns no value for a sign, a unit or an overflow.
 std::optional<uint64_t>
@@ -22,6 +22,6 @@
 std::optional<uint64_t>
 ParseSize(const std::string& aText, LastReason& aReason);
 
-} // namespace ibisrock::daemon
+} // namespace ibisrock
 
 #endif
--- a/src/daemon/setting_table.cpp
+++ b/src/daemon/setting_table.cpp
@@ -1,7 +1,7 @@
 #include "daemon/setting_table.h"
 
 #include "adapters/socket_address.h"
-#include "daemon/unit_text.h"
+#include "base/unit_text.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- /dev/null
+++ b/src/entry/request_log.cpp
@@ -0,0 +1,85 @@
+#include "entry/request_log.h"
+
+namespace ibisrock::entry {
+
+namespace {
+
+/// Kinds of lines, each with its own limit, so that many of one kind do not hide the others.
+enum Kind : size_t
+{
+  kRefused,
+  kAnswered,
+  kPartial,
+  kFailed,
+  kCallerLeft,
+  kKinds,
+};
+
+/// Lines of each kind in 10 s: at most 40 lines a second from one instance, about 8 KB.
+constexpr unsigned kLinesPerPeriod = 80;
+
+std::string
+InMillis(Micros aTime)
+{
+  return std::to_string(aTime.count() / 1000) + "." + std::to_string(aTime.count() / 100 % 10) + "ms";
+}
+
+Kind
+KindOf(const RunEnd& aEnd)
+{
+  if (aEnd.reply_.status_ >= 400) {
+    return kFailed;
+  }
+  return aEnd.reply_.missingShards_ > 0 ? kPartial : kAnswered;
+}
+
+} // namespace
+
+RequestLog::RequestLog(TimerService& aTimers, LogSink& aSink)
+  : log_(aTimers, &aSink, "router", kKinds, kLinesPerPeriod)
+{
+}
+
+void
+RequestLog::OnRefused(const CallerRequest& aRequest, unsigned aStatus, Reason aReason, ConfigVersion aRoutes)
+{
+  log_.Write(LogLevel::Warning, kRefused, [&] {
+    return "event=refused request=" + aRequest.id_ + " host=" + aRequest.host_ + " status=" + std::to_string(aStatus) +
+           " reason=" + std::string(ToString(aReason)) + " config=" + std::to_string(aRoutes.Value());
+  });
+}
+
+void
+RequestLog::OnRunEnded(const CallerRequest& aRequest,
+                       const Route& aRoute,
+                       ConfigVersion aRoutes,
+                       const RunEnd& aEnd,
+                       Micros aTook)
+{
+  const Kind kind = KindOf(aEnd);
+  log_.Write(kind == kFailed ? LogLevel::Warning : LogLevel::Info, kind, [&] {
+    std::string text = "event=ended request=" + aRequest.id_ + " route=" + aRoute.name_.Value() +
+                       " config=" + std::to_string(aRoutes.Value()) + " status=" + std::to_string(aEnd.reply_.status_) +
+                       " verdict=" + std::string(ToString(aEnd.verdict_)) +
+                       " reason=" + std::string(ToString(aEnd.reason_)) + " took=" + InMillis(aTook);
+    if (aRequest.timeLeft_) {
+      text += " time_left=" + InMillis(*aRequest.timeLeft_);
+    }
+    text += " shards=" + std::to_string(aEnd.shards_) + " missing=" + std::to_string(aEnd.reply_.missingShards_) +
+            " attempts=" + std::to_string(aEnd.attempts_) + " extra=" + std::to_string(aEnd.extraAttempts_);
+    if (aEnd.reply_.retryAfter_) {
+      text += " retry_after=" + InMillis(*aEnd.reply_.retryAfter_);
+    }
+    return text;
+  });
+}
+
+void
+RequestLog::OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aTook)
+{
+  log_.Write(LogLevel::Info, kCallerLeft, [&] {
+    return "event=caller_left request=" + aRequest.id_ + " route=" + aRoute.name_.Value() + " after=" + InMillis(aTook);
+  });
+}
+
+} // namespace ibisrock::entry
--- /dev/null
+++ b/src/entry/stdout_log.h
@@ -0,0 +1,33 @@
+#ifndef IBISROCK_ENTRY_STDOUT_LOG_H
+#define IBISROCK_ENTRY_STDOUT_LOG_H
+
+#include "base/log_sink.h"
+#include "base/timer_service.h"
+
+#include <cstdint>
+#include <string>
+
+namespace ibisrock::entry {
+
+/// Writes log lines in logfmt to the standard output. Lines are collected and written by a timer, and only while the
+/// output takes them, so that a reader that stalls never blocks the process. Lines that find no room are counted.
+class StdoutLog final : public LogSink
+{
+public:
+  explicit StdoutLog(TimerService& aTimers, std::string aInstance);
+
+  void Write(LogLevel aLevel, const char* aComponent, const std::string& aText) override;
+  /// Writes what the output takes now.
+  void Flush();
+
+private:
+  TimerService& timers_;
+  const std::string instance_;
+  std::string buffer_;
+  uint64_t dropped_ = 0;
+  bool flushPending_ = false;
+};
+
+} // namespace ibisrock::entry
+
+#endif
--- a/src/process/extra_attempt_budget.h
+++ b/src/process/extra_attempt_budget.h
@@ -16,10 +16,26 @@
   /// Small, so that a quiet time saves up no burst of extra attempts for the start of an overload.
   static constexpr double kMaxTokens = 10;
 
+  /// aShare is earned by each first attempt; no more than aMaxTokens are saved up.
+  explicit ExtraAttemptBudget(double aShare = kShare, double aMaxTokens = kMaxTokens)
+    : share_(aShare)
+    , maxTokens_(aMaxTokens)
+    , tokens_(aMaxTokens)
+  {
+  }
+
+  /// Changes the largest number of saved tokens, for example when the number of instances that share a bound changes.
+  void SetMaxTokens(double aMaxTokens)
+  {
+    std::lock_guard lock(mutex_);
+    maxTokens_ = aMaxTokens;
+    tokens_ = std::min(maxTokens_, tokens_);
+  }
+
   void OnFirstAttempt()
   {
     std::lock_guard lock(mutex_);
-    tokens_ = std::min(kMaxTokens, tokens_ + kShare);
+    tokens_ = std::min(maxTokens_, tokens_ + share_);
   }
 
   /// Takes the token of one hedge or retry if at least aKept tokens remain. Returns false when there are too few.
@@ -37,12 +53,14 @@
   void GiveBack()
   {
     std::lock_guard lock(mutex_);
-    tokens_ = std::min(kMaxTokens, tokens_ + 1);
+    tokens_ = std::min(maxTokens_, tokens_ + 1);
   }
 
 private:
   std::mutex mutex_;
-  double tokens_ = kMaxTokens;
+  const double share_;
+  double maxTokens_;
+  double tokens_;
 };
 
 } // namespace ibisrock
--- /dev/null
+++ b/src/process/route_state.h
@@ -0,0 +1,37 @@
+#ifndef IBISROCK_PROCESS_ROUTE_STATE_H
+#define IBISROCK_PROCESS_ROUTE_STATE_H
+
+#include "base/random.h"
+#include "process/latency_tracker.h"
+#include "version/route_table.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace ibisrock {
+
+/// What this instance has learned about a route; kept over versions of the configuration. Used on one thread.
+class RouteState
+{
+public:
+  /// Quantile of the call times after which a call is hedged. The extra calls must fit in the shared budget also when
+  /// targets pause.
+  static constexpr double kHedgeQuantile = 0.92;
+
+  /// Picks the pool of the next request, so that each pool gets its weight's share as exactly as possible.
+  const PoolName& PickPool(const std::vector<WeightedPool>& aPools, Random& aRandom);
+
+  void ObserveCall(TimePoint aNow, Micros aTook);
+  /// Usual time of a call, aFallback while it is not known.
+  Micros UsualTime(Micros aFallback) const { return mean_ == Micros::zero() ? aFallback : mean_; }
+  Micros HedgeDelay(TimePoint aNow, Micros aFallback) { return times_.HedgeDelay(aNow, aFallback); }
+
+private:
+  LatencyTracker times_{ kHedgeQuantile };
+  Micros mean_{};
+  std::unordered_map<PoolName, double> shares_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/routing_context.h
@@ -0,0 +1,34 @@
+#ifndef IBISROCK_PROCESS_ROUTING_CONTEXT_H
+#define IBISROCK_PROCESS_ROUTING_CONTEXT_H
+
+#include "base/random.h"
+#include "base/target_link.h"
+#include "base/timer_service.h"
+#include "process/pool_state.h"
+#include "process/route_state.h"
+#include "process/target_directory.h"
+
+namespace ibisrock {
+
+/// What all runs of a router share. Everything outlives the runs.
+struct RoutingContext
+{
+  TimerService& timers_;
+  Random& random_;
+  TargetLink& link_;
+  TargetDirectory& targets_;
+  DataCentre dataCentre_;
+  std::unordered_map<PoolName, PoolState>& pools_;
+  /// Share of the requests to a pool that may be sent once more, and the tokens that may be saved up.
+  double extraShare_ = 0;
+  double maxExtraTokens_ = 0;
+
+  PoolState& Pool(const PoolName& aName)
+  {
+    return pools_.try_emplace(aName, extraShare_, maxExtraTokens_).first->second;
+  }
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/target.h
@@ -0,0 +1,96 @@
+#ifndef IBISROCK_PROCESS_TARGET_H
+#define IBISROCK_PROCESS_TARGET_H
+
+#include "base/ids.h"
+#include "base/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ibisrock {
+
+/// What discovery says of a target.
+struct TargetRecord
+{
+  TargetName name_;
+  PoolName pool_;
+  TargetAddress address_;
+  DataCentre dataCentre_;
+  /// Requests that the target runs at the same time.
+  unsigned slots_ = 1;
+  bool isLeaving_ = false;
+  /// How much longer the target is slow after its start.
+  Micros warmUpLeft_{};
+  /// Start time in milliseconds since the epoch. A later one means that the target restarted under its name.
+  uint64_t startedAt_ = 0;
+
+  bool operator==(const TargetRecord&) const = default;
+};
+
+/// A target as this instance sees it: its record and what the calls to it showed. Used on one thread.
+class Target
+{
+public:
+  Target(TargetRecord aRecord, TimePoint aNow);
+
+  const TargetRecord& Record() const { return record_; }
+  /// Takes a new record. A restart forgets everything that was observed.
+  void Update(const TargetRecord& aRecord, TimePoint aNow);
+
+  bool IsGone() const { return gone_; }
+  void MarkGone() { gone_ = true; }
+
+  /// Calls that this instance may have in flight to the target.
+  void SetLimit(unsigned aLimit) { limit_ = aLimit; }
+  bool HasRoom() const { return inFlight_.size() < limit_; }
+  size_t InFlight() const { return inFlight_.size(); }
+
+  /// Whether recent failures to connect keep new work away. After each pause one call may try again.
+  bool IsAvoided(TimePoint aNow) const { return aNow < avoidedUntil_; }
+
+  /// aExpected is the usual time of such a call in its pool.
+  void OnSent(CallId aCall, TimePoint aNow, Micros aExpected);
+  /// A call ended with a complete reply after aTook.
+  void OnReply(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected);
+  /// A call ended without a usable reply.
+  void OnFailure(CallId aCall, TimePoint aNow);
+  /// The call could not reach the target at all.
+  void OnUnreachable(CallId aCall, TimePoint aNow);
+  /// A call was given up after aTook, because another target was faster.
+  void OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected);
+
+  /// Recent time of calls over their usual time, including the calls that still wait; 1 is usual.
+  double Slowness(TimePoint aNow) const;
+  /// Recent share of calls without a usable reply.
+  double FailureShare(TimePoint aNow) const;
+
+private:
+  struct InFlightCall
+  {
+    CallId id_;
+    TimePoint sentAt_;
+    Micros expected_;
+  };
+
+  void Remove(CallId aCall);
+  void ObserveSlowness(TimePoint aNow, double aRatio);
+  void ObserveFailure(TimePoint aNow, bool aFailed);
+  double WarmUpFactor(TimePoint aNow) const;
+
+  TargetRecord record_;
+  bool gone_ = false;
+  unsigned limit_ = 1;
+  std::vector<InFlightCall> inFlight_;
+  TimePoint warmAt_;
+  double slowness_ = 1;
+  TimePoint slownessAt_;
+  double failures_ = 0;
+  TimePoint failuresAt_;
+  TimePoint avoidedUntil_{};
+  Micros pause_{};
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/target_choice.cpp
@@ -0,0 +1,57 @@
+#include "process/target_choice.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+namespace {
+
+/// A target in another data centre costs bytes between data centres and a round trip; worth about half a call in
+/// flight.
+constexpr double kDistancePenalty = 0.5;
+/// A target that fails all calls is chosen when the others are this many times as loaded.
+constexpr double kFailurePenalty = 8;
+/// Spreads instances that see equal targets over them.
+constexpr double kJitter = 0.1;
+
+double
+Score(const Target& aTarget, const ChoiceContext& aContext, Random& aRandom)
+{
+  const double distance = aTarget.Record().dataCentre_ == aContext.ownDataCentre_ ? 0 : kDistancePenalty;
+  const double load = (static_cast<double>(aTarget.InFlight()) + 1) * aTarget.Slowness(aContext.now_) + distance;
+  const double failures = 1 + kFailurePenalty * aTarget.FailureShare(aContext.now_);
+  return load * failures * (1 + kJitter * aRandom.Unit());
+}
+
+bool
+IsExcluded(const Target& aTarget, const ChoiceContext& aContext)
+{
+  return std::find(aContext.excluded_.begin(), aContext.excluded_.end(), aTarget.Record().name_) !=
+         aContext.excluded_.end();
+}
+
+} // namespace
+
+Choice
+ChooseTarget(std::span<const TargetPtr> aTargets, const ChoiceContext& aContext, Random& aRandom)
+{
+  Choice choice;
+  double best = 0;
+  for (const TargetPtr& target : aTargets) {
+    if (target->IsGone() || target->IsAvoided(aContext.now_) || IsExcluded(*target, aContext)) {
+      continue;
+    }
+    if (!target->HasRoom()) {
+      choice.hasFullTarget_ = true;
+      continue;
+    }
+    const double score = Score(*target, aContext, aRandom);
+    if (!choice.target_ || score < best) {
+      choice.target_ = target;
+      best = score;
+    }
+  }
+  return choice;
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/process/target_choice.h
@@ -0,0 +1,40 @@
+#ifndef IBISROCK_PROCESS_TARGET_CHOICE_H
+#define IBISROCK_PROCESS_TARGET_CHOICE_H
+
+#include "base/random.h"
+#include "process/target.h"
+
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace ibisrock {
+
+using TargetPtr = std::shared_ptr<Target>;
+
+/// What a choice among the targets of a pool depends on besides the targets.
+struct ChoiceContext
+{
+  TimePoint now_;
+  DataCentre ownDataCentre_;
+  /// Targets that the request was already sent to.
+  std::span<const TargetName> excluded_;
+};
+
+struct Choice
+{
+  /// Null when no target can take the request now.
+  TargetPtr target_;
+  /// Some target could take it once it has room.
+  bool hasFullTarget_ = false;
+};
+
+/// The target with the least expected wait: its own calls in flight, times its slowness, raised by failures and by the
+/// distance. Load pattern: many instances share a few slots per target, targets pause and differ in speed, and no
+/// instance sees the queue of a target other than through the time that its own calls take.
+Choice
+ChooseTarget(std::span<const TargetPtr> aTargets, const ChoiceContext& aContext, Random& aRandom);
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/process/target_directory.cpp
@@ -0,0 +1,108 @@
+#include "process/target_directory.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+TargetDirectory::TargetDirectory(TimerService& aTimers, OnGone aOnGone)
+  : timers_(aTimers)
+  , onGone_(std::move(aOnGone))
+{
+}
+
+void
+TargetDirectory::Replace(const std::vector<TargetRecord>& aRecords, bool aAfterOutage)
+{
+  std::unordered_set<TargetName> listed;
+  for (const TargetRecord& record : aRecords) {
+    listed.insert(record.name_);
+    Upsert(record);
+  }
+  std::vector<TargetName> missing;
+  for (const auto& [name, target] : byName_) {
+    if (!listed.contains(name)) {
+      missing.push_back(name);
+    }
+  }
+  for (const TargetName& name : missing) {
+    if (aAfterOutage || held_.contains(name)) {
+      Hold(name);
+    } else {
+      Remove(name);
+    }
+  }
+}
+
+/// Keeps a target for the time in which it may register again.
+void
+TargetDirectory::Hold(const TargetName& aName)
+{
+  if (!held_.insert(aName).second) {
+    return;
+  }
+  timers_.After(kLapseHold, [this, aName] {
+    if (held_.contains(aName)) {
+      Remove(aName);
+    }
+  });
+}
+
+void
+TargetDirectory::Upsert(const TargetRecord& aRecord)
+{
+  held_.erase(aRecord.name_);
+  auto found = byName_.find(aRecord.name_);
+  if (found == byName_.end()) {
+    auto target = std::make_shared<Target>(aRecord, timers_.Now());
+    byName_.emplace(aRecord.name_, target);
+    AddToPool(target);
+    return;
+  }
+  TargetPtr target = found->second;
+  RemoveFromPool(target);
+  if (target->Record().address_ != aRecord.address_ || target->Record().startedAt_ != aRecord.startedAt_) {
+    onGone_(aRecord.name_);
+  }
+  target->Update(aRecord, timers_.Now());
+  AddToPool(target);
+}
+
+void
+TargetDirectory::Remove(const TargetName& aName)
+{
+  held_.erase(aName);
+  auto found = byName_.find(aName);
+  if (found == byName_.end()) {
+    return;
+  }
+  found->second->MarkGone();
+  RemoveFromPool(found->second);
+  byName_.erase(found);
+  onGone_(aName);
+}
+
+std::span<const TargetPtr>
+TargetDirectory::TargetsOf(const PoolName& aPool) const
+{
+  auto found = byPool_.find(aPool);
+  return found == byPool_.end() ? std::span<const TargetPtr>() : found->second;
+}
+
+void
+TargetDirectory::AddToPool(const TargetPtr& aTarget)
+{
+  if (!aTarget->Record().isLeaving_) {
+    byPool_[aTarget->Record().pool_].push_back(aTarget);
+  }
+}
+
+void
+TargetDirectory::RemoveFromPool(const TargetPtr& aTarget)
+{
+  auto found = byPool_.find(aTarget->Record().pool_);
+  if (found != byPool_.end()) {
+    std::erase(found->second, aTarget);
+  }
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/request/gather_run.cpp
@@ -0,0 +1,130 @@
+#include "request/gather_run.h"
+
+#include "request/error_reply.h"
+#include "request/record_merge.h"
+
+namespace ibisrock {
+
+namespace {
+
+/// Keeps 0.6 * 5 shards from being more than 3.
+constexpr double kRounding = 1e-9;
+
+} // namespace
+
+GatherRun::GatherRun(const Plan& aPlan, OnEnd aOnEnd)
+  : RoutedRun(aPlan, std::move(aOnEnd))
+{
+  const std::vector<PoolName>& shards = scope_.route_.gather_->shards_;
+  calls_.reserve(shards.size());
+  for (size_t i = 0; i < shards.size(); i++) {
+    calls_.push_back(std::make_unique<PoolCall>(scope_, shards[i], i, *this));
+  }
+}
+
+void
+GatherRun::Start()
+{
+  for (const auto& call : calls_) {
+    if (call->Start() != PoolCall::State::GivenUp) {
+      pending_++;
+    }
+  }
+  started_ = true;
+  StartTimers();
+  EndIfDecided();
+}
+
+void
+GatherRun::OnPoolCallEnded(size_t aIndex)
+{
+  pending_--;
+  if (calls_[aIndex]->CurrentState() == PoolCall::State::Replied) {
+    covered_++;
+  }
+  EndIfDecided();
+}
+
+bool
+GatherRun::HasEnough(size_t aShards) const
+{
+  return aShards > 0 && static_cast<double>(aShards) + kRounding >=
+                          scope_.route_.gather_->minCoverage_ * static_cast<double>(calls_.size());
+}
+
+/// Ends the run when all shards are settled, when too many are lost, or when the objective has passed with enough.
+void
+GatherRun::EndIfDecided()
+{
+  if (!started_) {
+    return;
+  }
+  if (!HasEnough(covered_ + pending_)) {
+    EndWithFailure(Reason::NoReplica);
+  } else if (pending_ == 0 || (HasEnough(covered_) && HasPassed(timing_.cutoff_))) {
+    EndWithParts();
+  }
+}
+
+void
+GatherRun::OnHedgeTime()
+{
+  for (const auto& call : calls_) {
+    if (call->IsPending()) {
+      call->Hedge();
+    }
+  }
+}
+
+void
+GatherRun::OnCutoff()
+{
+  EndIfDecided();
+}
+
+void
+GatherRun::OnDeadline()
+{
+  if (HasEnough(covered_)) {
+    EndWithParts();
+  } else {
+    EndWithFailure(Reason::TimedOut);
+  }
+}
+
+void
+GatherRun::EndWithParts()
+{
+  CallerReply reply;
+  reply.status_ = 200;
+  std::vector<std::string_view> parts;
+  for (const auto& call : calls_) {
+    if (call->CurrentState() != PoolCall::State::Replied) {
+      reply.missingShards_++;
+      continue;
+    }
+    reply.stamps_.push_back(call->Reply()->stamp_);
+    parts.emplace_back(*call->Reply()->body_);
+  }
+  reply.body_ = std::make_shared<std::string>(MergeRecords(parts, scope_.route_.gather_->topRecords_));
+  Finish(std::move(reply), Verdict::Ran, Reason::None);
+}
+
+void
+GatherRun::EndWithFailure(Reason aReason)
+{
+  const Verdict verdict = CombinedVerdict();
+  Finish(MakeFailureReply(verdict, aReason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, aReason);
+}
+
+Verdict
+GatherRun::CombinedVerdict() const
+{
+  Verdict verdict = Verdict::NotRun;
+  for (const auto& call : calls_) {
+    verdict = Combine(verdict, call->CombinedVerdict());
+  }
+  return verdict;
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/request/gather_run.h
@@ -0,0 +1,37 @@
+#ifndef IBISROCK_REQUEST_GATHER_RUN_H
+#define IBISROCK_REQUEST_GATHER_RUN_H
+
+#include "request/routed_run.h"
+
+namespace ibisrock {
+
+/// A request that one target of each shard answers in part. All shards come from one version of the configuration.
+class GatherRun final : public RoutedRun
+{
+public:
+  GatherRun(const Plan& aPlan, OnEnd aOnEnd);
+
+  void Start() override;
+
+private:
+  void OnPoolCallEnded(size_t aIndex) override;
+  void OnHedgeTime() override;
+  void OnCutoff() override;
+  void OnDeadline() override;
+  std::vector<std::unique_ptr<PoolCall>>& Calls() override { return calls_; }
+
+  bool HasEnough(size_t aShards) const;
+  void EndIfDecided();
+  void EndWithParts();
+  void EndWithFailure(Reason aReason);
+  Verdict CombinedVerdict() const;
+
+  std::vector<std::unique_ptr<PoolCall>> calls_;
+  size_t covered_ = 0;
+  size_t pending_ = 0;
+  bool started_ = false;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/request/pool_call.cpp
@@ -0,0 +1,233 @@
+#include "request/pool_call.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+namespace {
+
+/// Usual time of a call until the first replies have shown it; part of the objective, so that it fits fast and slow
+/// routes.
+constexpr double kFirstUsualTimeShare = 0.2;
+/// Tokens that hedges leave for retries after failures.
+constexpr double kTokensKeptForRetries = 1;
+
+constexpr bool
+IsNotRunStatus(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+} // namespace
+
+bool
+IsSuccess(const TargetOutcome& aOutcome)
+{
+  return aOutcome.verdict_ == Verdict::Ran && aOutcome.status_ / 100 == 2 && !aOutcome.stamp_.empty();
+}
+
+/// Whether no other target needs to be asked. A part of a gathered answer must be a success; a relayed request ends
+/// with any reply that another target would not better.
+bool
+PoolCall::IsFinal(const TargetOutcome& aOutcome) const
+{
+  if (scope_.route_.gather_) {
+    return IsSuccess(aOutcome);
+  }
+  return aOutcome.verdict_ == Verdict::Ran && !aOutcome.stamp_.empty() && aOutcome.status_ < 500 &&
+         !IsNotRunStatus(aOutcome.status_);
+}
+
+PoolCall::PoolCall(const RunScope& aScope, PoolName aPool, size_t aIndex, PoolCallObserver& aObserver)
+  : scope_(aScope)
+  , pool_(std::move(aPool))
+  , index_(aIndex)
+  , observer_(aObserver)
+{
+}
+
+PoolCall::~PoolCall()
+{
+  Stop(Abandon::LetFinish);
+}
+
+PoolCall::State
+PoolCall::Start()
+{
+  scope_.context_.Pool(pool_).extra_.OnFirstAttempt();
+  if (!TrySend(false)) {
+    if (Choose().hasFullTarget_) {
+      WaitForRoom();
+    } else {
+      lastReason_ = Reason::NoReplica;
+    }
+  }
+  return state_;
+}
+
+Choice
+PoolCall::Choose() const
+{
+  RoutingContext& context = scope_.context_;
+  return ChooseTarget(
+    context.targets_.TargetsOf(pool_), { context.timers_.Now(), context.dataCentre_, tried_ }, context.random_);
+}
+
+/// Sends an attempt to the best target with room. Returns false when there is none.
+bool
+PoolCall::TrySend(bool aExtra)
+{
+  RoutingContext& context = scope_.context_;
+  const TimePoint now = context.timers_.Now();
+  if (now >= scope_.deadline_) {
+    return false;
+  }
+  TargetPtr target = Choose().target_;
+  if (!target) {
+    return false;
+  }
+  const TargetCall call{ target->Record().name_, target->Record().address_, scope_.request_, scope_.deadline_ - now };
+  auto id = std::make_shared<CallId>();
+  *id = context.link_.Send(call, [this, id](TargetOutcome aOutcome) { OnOutcome(*id, std::move(aOutcome)); });
+  const Micros firstGuess(static_cast<Micros::rep>(kFirstUsualTimeShare * scope_.route_.objective_.count()));
+  const Micros expected = scope_.state_.UsualTime(firstGuess);
+  target->OnSent(*id, now, expected);
+  tried_.push_back(target->Record().name_);
+  attempts_.push_back({ *id, std::move(target), now, expected, aExtra });
+  state_ = State::InFlight;
+  return true;
+}
+
+void
+PoolCall::WaitForRoom()
+{
+  state_ = State::Waiting;
+  waiting_ = scope_.context_.Pool(pool_).waiting_.Add(scope_.route_.priority_, [this] { return TryAgain(); });
+}
+
+bool
+PoolCall::TryAgain()
+{
+  if (!TrySend(false)) {
+    return false;
+  }
+  waiting_.reset();
+  return true;
+}
+
+void
+PoolCall::Hedge()
+{
+  if (state_ != State::InFlight || !MayRepeat() || tried_.size() >= scope_.route_.maxTargets_) {
+    return;
+  }
+  ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
+  if (!budget.TryTake(kTokensKeptForRetries)) {
+    return;
+  }
+  if (!TrySend(true)) {
+    budget.GiveBack();
+  }
+}
+
+void
+PoolCall::OnOutcome(CallId aId, TargetOutcome aOutcome)
+{
+  auto found =
+    std::find_if(attempts_.begin(), attempts_.end(), [aId](const Attempt& aAttempt) { return aAttempt.id_ == aId; });
+  const Attempt attempt = std::move(*found);
+  attempts_.erase(found);
+  Observe(attempt, aOutcome);
+  scope_.context_.Pool(pool_).waiting_.OnRoom();
+  verdict_ = Combine(verdict_, aOutcome.verdict_);
+  lastReason_ = aOutcome.reason_;
+  if (IsFinal(aOutcome)) {
+    reply_ = std::move(aOutcome);
+    state_ = State::Replied;
+    Stop(Abandon::LetFinish);
+    observer_.OnPoolCallEnded(index_);
+  } else {
+    if (aOutcome.verdict_ == Verdict::Ran && !IsNotRunStatus(aOutcome.status_)) {
+      reply_ = std::move(aOutcome);
+    }
+    OnFailedAttempt();
+  }
+}
+
+void
+PoolCall::Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome)
+{
+  const TimePoint now = scope_.context_.timers_.Now();
+  const Micros took = now - aAttempt.sentAt_;
+  if (IsFinal(aOutcome)) {
+    aAttempt.target_->OnReply(aAttempt.id_, now, took, aAttempt.expected_);
+    scope_.state_.ObserveCall(now, took);
+  } else if (aOutcome.reason_ == Reason::ConnectFailed) {
+    aAttempt.target_->OnUnreachable(aAttempt.id_, now);
+    if (aAttempt.extra_) {
+      scope_.context_.Pool(pool_).extra_.GiveBack();
+    }
+  } else {
+    aAttempt.target_->OnFailure(aAttempt.id_, now);
+  }
+}
+
+/// Retries on another target, or gives up when no other attempt is in flight.
+void
+PoolCall::OnFailedAttempt()
+{
+  const bool mayRetry =
+    tried_.size() < scope_.route_.maxTargets_ && (MayRepeat() || CombinedVerdict() == Verdict::NotRun);
+  if (mayRetry) {
+    ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
+    // An attempt that did not reach its target is no arrival there, so its successor costs nothing.
+    const bool free = lastReason_ == Reason::ConnectFailed;
+    if (free || budget.TryTake()) {
+      if (TrySend(!free)) {
+        return;
+      }
+      if (!free) {
+        budget.GiveBack();
+      }
+    }
+  }
+  if (attempts_.empty()) {
+    GiveUp();
+  }
+}
+
+void
+PoolCall::GiveUp()
+{
+  state_ = State::GivenUp;
+  observer_.OnPoolCallEnded(index_);
+}
+
+void
+PoolCall::Stop(Abandon aHow)
+{
+  RoutingContext& context = scope_.context_;
+  if (waiting_) {
+    context.Pool(pool_).waiting_.Remove(*waiting_);
+    waiting_.reset();
+  }
+  const TimePoint now = context.timers_.Now();
+  for (const Attempt& attempt : attempts_) {
+    context.link_.AbandonCall(attempt.id_, aHow);
+    attempt.target_->OnAbandoned(attempt.id_, now, now - attempt.sentAt_, attempt.expected_);
+    verdict_ = Combine(verdict_, Verdict::MayHaveRun);
+  }
+  attempts_.clear();
+  if (IsPending()) {
+    state_ = State::GivenUp;
+  }
+  context.Pool(pool_).waiting_.OnRoom();
+}
+
+Verdict
+PoolCall::CombinedVerdict() const
+{
+  return attempts_.empty() ? verdict_ : Combine(verdict_, Verdict::MayHaveRun);
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/request/relay_run.cpp
@@ -0,0 +1,61 @@
+#include "request/relay_run.h"
+
+#include "request/error_reply.h"
+
+namespace ibisrock {
+
+RelayRun::RelayRun(const Plan& aPlan, OnEnd aOnEnd)
+  : RoutedRun(aPlan, std::move(aOnEnd))
+{
+  const PoolName& pool = scope_.state_.PickPool(scope_.route_.pools_, scope_.context_.random_);
+  calls_.push_back(std::make_unique<PoolCall>(scope_, pool, 0, *this));
+}
+
+void
+RelayRun::Start()
+{
+  if (Call().Start() == PoolCall::State::GivenUp) {
+    EndWithCall();
+    return;
+  }
+  StartTimers();
+}
+
+void
+RelayRun::OnPoolCallEnded(size_t)
+{
+  EndWithCall();
+}
+
+/// Passes on the target's reply, or says why there is none.
+void
+RelayRun::EndWithCall()
+{
+  if (!Call().Reply()) {
+    const Verdict verdict = Call().CombinedVerdict();
+    const Reason reason = Call().LastReason();
+    Finish(MakeFailureReply(verdict, reason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, reason);
+    return;
+  }
+  const TargetOutcome& outcome = *Call().Reply();
+  CallerReply reply;
+  reply.status_ = outcome.status_;
+  reply.fields_ = outcome.fields_;
+  reply.body_ = outcome.body_;
+  Finish(std::move(reply), Verdict::Ran, Reason::None);
+}
+
+void
+RelayRun::OnHedgeTime()
+{
+  Call().Hedge();
+}
+
+void
+RelayRun::OnDeadline()
+{
+  const Verdict verdict = Call().CombinedVerdict();
+  Finish(MakeFailureReply(verdict, Reason::TimedOut, true, kRetryAfterNoTarget), verdict, Reason::TimedOut);
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/src/request/relay_run.h
@@ -0,0 +1,31 @@
+#ifndef IBISROCK_REQUEST_RELAY_RUN_H
+#define IBISROCK_REQUEST_RELAY_RUN_H
+
+#include "request/routed_run.h"
+
+namespace ibisrock {
+
+/// A request that one target of one pool answers. The target's reply is passed on unchanged.
+class RelayRun final : public RoutedRun
+{
+public:
+  RelayRun(const Plan& aPlan, OnEnd aOnEnd);
+
+  void Start() override;
+
+private:
+  void OnPoolCallEnded(size_t aIndex) override;
+  void OnHedgeTime() override;
+  void OnCutoff() override {}
+  void OnDeadline() override;
+  std::vector<std::unique_ptr<PoolCall>>& Calls() override { return calls_; }
+
+  PoolCall& Call() { return *calls_.front(); }
+  void EndWithCall();
+
+  std::vector<std::unique_ptr<PoolCall>> calls_;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/request/run_observer.h
@@ -0,0 +1,19 @@
+#ifndef IBISROCK_REQUEST_RUN_OBSERVER_H
+#define IBISROCK_REQUEST_RUN_OBSERVER_H
+
+#include <cstddef>
+
+namespace ibisrock {
+
+/// Told when a pool call has its reply or has been given up.
+class PoolCallObserver
+{
+public:
+  virtual ~PoolCallObserver() = default;
+
+  virtual void OnPoolCallEnded(size_t aIndex) = 0;
+};
+
+} // namespace ibisrock
+
+#endif
--- /dev/null
+++ b/src/version/route_table.cpp
@@ -0,0 +1,102 @@
+#include "version/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace ibisrock {
+
+namespace {
+
+/// Host names are compared without case and without a port.
+std::string
+NormalHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aLetter) { return std::tolower(aLetter); });
+  return host;
+}
+
+std::string
+IndexKey(const std::string& aHost, std::string_view aPrefix)
+{
+  return aHost + ' ' + std::string(aPrefix);
+}
+
+/// Returns what is wrong with a route, or an empty text.
+std::string
+FindFault(const Route& aRoute)
+{
+  const std::string& prefix = aRoute.pathPrefix_;
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    return "its path prefix does not begin and end with a slash";
+  }
+  if (aRoute.gather_ ? aRoute.gather_->shards_.empty() : aRoute.pools_.empty()) {
+    return "it names no pool";
+  }
+  if (aRoute.gather_ && aRoute.kind_ != RequestKind::Idempotent) {
+    return "it gathers, but its requests are not idempotent";
+  }
+  const bool hasWeight = std::any_of(
+    aRoute.pools_.begin(), aRoute.pools_.end(), [](const WeightedPool& aPool) { return aPool.weight_ > 0; });
+  if (!aRoute.gather_ && !hasWeight) {
+    return "no pool has a weight above 0";
+  }
+  return "";
+}
+
+} // namespace
+
+RouteTable::RouteTable(Content aContent)
+  : content_(std::move(aContent))
+{
+  IndexRoutes();
+}
+
+std::shared_ptr<const RouteTable>
+RouteTable::Create(Content aContent, LastReason& aReason)
+{
+  for (const Route& route : aContent.routes_) {
+    const std::string fault = FindFault(route);
+    if (!fault.empty()) {
+      aReason.Set("route \"" + route.name_.Value() + "\": " + fault);
+      return nullptr;
+    }
+  }
+  return std::shared_ptr<const RouteTable>(new RouteTable(std::move(aContent)));
+}
+
+void
+RouteTable::IndexRoutes()
+{
+  for (size_t i = 0; i < content_.routes_.size(); i++) {
+    const Route& route = content_.routes_[i];
+    byHostAndPrefix_.emplace(IndexKey(NormalHost(route.host_), route.pathPrefix_), i);
+  }
+}
+
+const PoolRule*
+RouteTable::FindPool(const PoolName& aName) const
+{
+  auto found = content_.pools_.find(aName);
+  return found == content_.pools_.end() ? nullptr : &found->second;
+}
+
+const Route*
+RouteTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const std::string host = NormalHost(aHost);
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  // Prefixes end with a slash, so only the parts of the path up to one of its slashes can match.
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+    auto found = byHostAndPrefix_.find(IndexKey(host, path.substr(0, slash + 1)));
+    if (found != byHostAndPrefix_.end()) {
+      return &content_.routes_[found->second];
+    }
+    if (slash == 0) {
+      break;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace ibisrock
--- /dev/null
+++ b/tests/fake_target_link.h
@@ -0,0 +1,99 @@
+#ifndef IBISROCK_TESTS_FAKE_TARGET_LINK_H
+#define IBISROCK_TESTS_FAKE_TARGET_LINK_H
+
+#include "base/target_link.h"
+#include "base/timer_service.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ibisrock::tests {
+
+/// Records the calls of a router; the test ends them.
+class FakeTargetLink final : public TargetLink
+{
+public:
+  struct Sent
+  {
+    CallId id_;
+    TargetCall call_;
+    Callback callback_;
+    bool ended_ = false;
+    bool stopped_ = false;
+  };
+
+  CallId Send(const TargetCall& aCall, Callback aCallback) override
+  {
+    sent_.push_back({ CallId(sent_.size() + 1), aCall, std::move(aCallback) });
+    return sent_.back().id_;
+  }
+
+  void AbandonCall(CallId aId, Abandon aHow) override
+  {
+    Sent& sent = sent_.at(aId.Value() - 1);
+    sent.ended_ = true;
+    sent.stopped_ = aHow == Abandon::Stop;
+  }
+
+  void Forget(const TargetName& aTarget) override { forgotten_.push_back(aTarget.Value()); }
+
+  /// Ends call number aIndex, unless it was abandoned.
+  void End(size_t aIndex, TargetOutcome aOutcome)
+  {
+    if (sent_.at(aIndex).ended_) {
+      return;
+    }
+    sent_[aIndex].ended_ = true;
+    Callback callback = std::move(sent_[aIndex].callback_);
+    callback(std::move(aOutcome));
+  }
+
+  /// Names of the targets in the order of the calls.
+  std::vector<std::string> Targets() const
+  {
+    std::vector<std::string> names;
+    for (const Sent& sent : sent_) {
+      names.push_back(sent.call_.target_.Value());
+    }
+    return names;
+  }
+
+  std::vector<Sent> sent_;
+  std::vector<std::string> forgotten_;
+};
+
+inline TargetOutcome
+Success(const std::string& aBody, const std::string& aStamp = "stamp")
+{
+  TargetOutcome outcome;
+  outcome.verdict_ = Verdict::Ran;
+  outcome.status_ = 200;
+  outcome.stamp_ = aStamp;
+  outcome.fields_ = { { "Ibisrock-Stamp", aStamp } };
+  outcome.body_ = std::make_shared<std::string>(aBody);
+  return outcome;
+}
+
+inline TargetOutcome
+Status(unsigned aStatus, const std::string& aStamp = "stamp")
+{
+  TargetOutcome outcome = Success("", aStamp);
+  outcome.status_ = aStatus;
+  outcome.reason_ = Reason::TargetError;
+  return outcome;
+}
+
+inline TargetOutcome
+Failure(Verdict aVerdict, Reason aReason)
+{
+  TargetOutcome outcome;
+  outcome.verdict_ = aVerdict;
+  outcome.reason_ = aReason;
+  return outcome;
+}
+
+} // namespace ibisrock::tests
+
+#endif
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,243 @@
+#include "router_fixture.h"
+
+#include <set>
+
+namespace ibisrock::tests {
+namespace {
+
+/// How a request ends after one outcome of its only attempt, when no other target is there.
+struct OutcomeCase
+{
+  const char* name_;
+  RequestKind kind_;
+  TargetOutcome outcome_;
+  unsigned status_;
+  /// Whether the reply carries the target's stamp.
+  bool stamped_;
+};
+
+class OutcomeOfTheOnlyTarget : public testing::TestWithParam<OutcomeCase>
+{};
+
+/// Guards against replies that claim more than the target said: a success without proof, or "not run" for a request
+/// that may have run.
+TEST_P(OutcomeOfTheOnlyTarget, GivesTheStatus)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(GetParam().kind_) });
+  fixture.SetTargets({ "pool" }, 1);
+  fixture.Submit("/relay/x");
+  ASSERT_EQ(fixture.link_.sent_.size(), 1U);
+  fixture.link_.End(0, GetParam().outcome_);
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  const CallerReply& reply = fixture.replies_[0];
+  EXPECT_EQ(reply.status_, GetParam().status_);
+  const bool stamped = std::any_of(reply.fields_.begin(), reply.fields_.end(), [](const HeaderField& aField) {
+    return aField.name_ == "Ibisrock-Stamp" && !aField.value_.empty();
+  });
+  EXPECT_EQ(stamped, GetParam().stamped_);
+  EXPECT_EQ(reply.retryAfter_.has_value(), reply.status_ == 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Router,
+  OutcomeOfTheOnlyTarget,
+  testing::Values(
+    OutcomeCase{ "Success", RequestKind::NonIdempotent, Success("body"), 200, true },
+    OutcomeCase{ "NotFound", RequestKind::Idempotent, Status(404), 404, true },
+    OutcomeCase{ "ServerError", RequestKind::NonIdempotent, Status(500), 500, true },
+    OutcomeCase{ "UnavailableButMayHaveRun", RequestKind::NonIdempotent, Status(503), 502, false },
+    OutcomeCase{ "TooManyButMayHaveRun", RequestKind::Idempotent, Status(429), 502, false },
+    OutcomeCase{ "Shed", RequestKind::NonIdempotent, Failure(Verdict::NotRun, Reason::Overloaded), 503, false },
+    OutcomeCase{ "Unreachable",
+                 RequestKind::NonIdempotent,
+                 Failure(Verdict::NotRun, Reason::ConnectFailed),
+                 503,
+                 false },
+    OutcomeCase{ "ConnectionLost",
+                 RequestKind::Idempotent,
+                 Failure(Verdict::MayHaveRun, Reason::ConnectionLost),
+                 502,
+                 false }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against a second run of a request that may run once only.
+TEST(Router, RepeatsOnlyWhatMayRunAgain)
+{
+  struct Case
+  {
+    RequestKind kind_;
+    Verdict verdict_;
+    size_t attempts_;
+  };
+  for (const Case& each : { Case{ RequestKind::Idempotent, Verdict::MayHaveRun, 2 },
+                            Case{ RequestKind::NonIdempotent, Verdict::MayHaveRun, 1 },
+                            Case{ RequestKind::NonIdempotent, Verdict::NotRun, 2 } }) {
+    RouterFixture fixture;
+    fixture.SetRoutes({ RouterFixture::RelayRoute(each.kind_) });
+    fixture.SetTargets({ "pool" }, 3);
+    fixture.Submit("/relay/x");
+    fixture.link_.End(0, Failure(each.verdict_, Reason::ConnectionLost));
+    fixture.timers_.Advance(Millis(200));
+    EXPECT_EQ(fixture.link_.sent_.size(), each.attempts_);
+  }
+}
+
+/// Guards against asking more targets than the route allows.
+TEST(Router, AsksNoMoreTargetsThanTheRouteAllows)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::Idempotent) });
+  fixture.SetTargets({ "pool" }, 5);
+  fixture.Submit("/relay/x");
+  fixture.timers_.Advance(Millis(300));
+  fixture.link_.End(0, Failure(Verdict::MayHaveRun, Reason::ConnectionLost));
+  fixture.link_.End(1, Failure(Verdict::MayHaveRun, Reason::ConnectionLost));
+  EXPECT_EQ(fixture.link_.sent_.size(), 2U);
+  const std::vector<std::string> targets = fixture.link_.Targets();
+  EXPECT_NE(targets[0], targets[1]);
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_EQ(fixture.replies_[0].status_, 502U);
+}
+
+/// Guards against answers that say less or more than their parts.
+TEST(Router, GathersTheGreatestRecordsOfAllShards)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::GatherRoute(3, 1.0, 2) });
+  fixture.SetShardTargets(3, 1);
+  fixture.Submit("/gather/x");
+  ASSERT_EQ(fixture.link_.sent_.size(), 3U);
+  fixture.link_.End(0, Success("aaaaaaaaaaaaaaaacccccccccccccccc", "s0"));
+  fixture.link_.End(1, Success("", "s1"));
+  EXPECT_TRUE(fixture.replies_.empty());
+  fixture.link_.End(2, Success("bbbbbbbbbbbbbbbbcccccccccccccccczz", "s2"));
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  const CallerReply& reply = fixture.replies_[0];
+  EXPECT_EQ(reply.status_, 200U);
+  EXPECT_EQ(*reply.body_, "cccccccccccccccccccccccccccccccc");
+  EXPECT_EQ(reply.stamps_, (std::vector<std::string>{ "s0", "s1", "s2" }));
+  EXPECT_EQ(reply.missingShards_, 0U);
+}
+
+/// Guards against waiting for a shard beyond the objective when enough of the others are in.
+TEST(Router, AnswersWithoutASilentShardBeforeTheObjectivePasses)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::GatherRoute(4, 0.75) });
+  fixture.SetShardTargets(4, 1);
+  fixture.Submit("/gather/x");
+  for (size_t i = 0; i < 3; i++) {
+    fixture.link_.End(i, Success("", "s" + std::to_string(i)));
+  }
+  EXPECT_TRUE(fixture.replies_.empty());
+  fixture.timers_.Advance(Millis(97));
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_EQ(fixture.replies_[0].missingShards_, 1U);
+  EXPECT_EQ(fixture.replies_[0].stamps_.size(), 3U);
+}
+
+/// Guards against holding back a request that can no longer be served.
+TEST(Router, EndsAGatherAtOnceWhenTooManyShardsAreLost)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::GatherRoute(4, 0.75) });
+  fixture.SetShardTargets(2, 1);
+  fixture.Submit("/gather/x");
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_NE(fixture.replies_[0].status_, 200U);
+}
+
+/// Guards against mixing the shards of two versions of the configuration.
+TEST(Router, FinishesAGatherWithTheShardsOfItsVersion)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::GatherRoute(2, 1.0) }, 1);
+  fixture.SetShardTargets(3, 1);
+  fixture.Submit("/gather/x");
+  fixture.SetRoutes({ RouterFixture::GatherRoute(3, 1.0) }, 2);
+  fixture.link_.End(0, Success("", "s0"));
+  fixture.link_.End(1, Success("", "s1"));
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_EQ(fixture.replies_[0].stamps_.size(), 2U);
+}
+
+/// Guards against work that goes on for a caller that has left.
+TEST(Router, StopsTargetsWhenTheCallerLeaves)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::GatherRoute(2, 1.0) });
+  fixture.SetShardTargets(2, 1);
+  const RunId run = fixture.Submit("/gather/x");
+  fixture.router_.OnCallerLeft(run);
+  EXPECT_TRUE(fixture.link_.sent_[0].stopped_);
+  EXPECT_TRUE(fixture.link_.sent_[1].stopped_);
+  fixture.timers_.Advance(Seconds(2));
+  EXPECT_TRUE(fixture.replies_.empty());
+}
+
+/// Guards against a configuration that goes back to an older version.
+TEST(Router, IgnoresAnOlderConfiguration)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::Idempotent, "new") }, 7);
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::Idempotent, "old") }, 6);
+  fixture.SetTargets({ "old", "new" }, 1);
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.link_.Targets(), std::vector<std::string>{ "new/0" });
+}
+
+/// What a request gets that no run can begin for.
+struct RefusalCase
+{
+  const char* name_;
+  bool hasRoutes_;
+  bool discoveryIsCurrent_;
+  unsigned status_;
+};
+
+class RefusalBeforeARun : public testing::TestWithParam<RefusalCase>
+{};
+
+/// Guards against a 404 from an instance that may not know the newest routes.
+TEST_P(RefusalBeforeARun, GivesTheStatus)
+{
+  RouterFixture fixture;
+  if (GetParam().hasRoutes_) {
+    fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::Idempotent) });
+    fixture.SetTargets({ "pool" }, 1);
+  }
+  fixture.router_.SetDiscoveryCurrent(GetParam().discoveryIsCurrent_);
+  fixture.Submit("/unknown/x");
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_EQ(fixture.replies_[0].status_, GetParam().status_);
+  EXPECT_EQ(fixture.replies_[0].retryAfter_.has_value(), GetParam().status_ == 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(Router,
+                         RefusalBeforeARun,
+                         testing::Values(RefusalCase{ "NoConfiguration", false, true, 503 },
+                                         RefusalCase{ "NoRoute", true, true, 404 },
+                                         RefusalCase{ "NoRouteDuringAnOutage", true, false, 503 }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against a split that drifts from its weights.
+TEST(Router, SplitsRequestsByWeight)
+{
+  RouterFixture fixture;
+  Route route = RouterFixture::MakeRoute("/relay/", RequestKind::Idempotent);
+  route.pools_ = { { PoolName("large"), 7 }, { PoolName("small"), 3 }, { PoolName("none"), 0 } };
+  fixture.SetRoutes({ route });
+  fixture.SetTargets({ "large", "small", "none" }, 1);
+  constexpr size_t kRequests = 100;
+  for (size_t i = 0; i < kRequests; i++) {
+    fixture.Submit("/relay/x");
+    fixture.link_.End(i, Success("x"));
+  }
+  const std::vector<std::string> targets = fixture.link_.Targets();
+  EXPECT_NEAR(static_cast<double>(std::count(targets.begin(), targets.end(), "large/0")), 70, 1);
+  EXPECT_EQ(std::count(targets.begin(), targets.end(), "none/0"), 0);
+}
+
+} // namespace
+} // namespace ibisrock::tests
