Never deliver a success without the target's stamp

The last failed reply of a call was kept to be passed on, whatever its status. Ruled out: a stamp dropped on the way; the log shows the reply came without one. Test: Router/OutcomeOfTheOnlyTarget/SuccessWithoutStamp, which failed before.

--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -18,6 +18,14 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+/// Whether a failed reply may go to the caller as it is. One that claims success without a proof, or that nothing ran,
+/// would say more than is known.
+bool
+MayPassOnFailure(const TargetOutcome& aOutcome)
+{
+  return aOutcome.verdict_ == Verdict::Ran && aOutcome.status_ >= 300 && !IsNotRunStatus(aOutcome.status_);
+}
+
 } // namespace
 
 bool
@@ -147,7 +155,7 @@
     Stop(Abandon::LetFinish);
     observer_.OnPoolCallEnded(index_);
   } else {
-    if (aOutcome.verdict_ == Verdict::Ran && !IsNotRunStatus(aOutcome.status_)) {
+    if (MayPassOnFailure(aOutcome)) {
       reply_ = std::move(aOutcome);
     }
     OnFailedAttempt();
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -44,6 +44,7 @@
   OutcomeOfTheOnlyTarget,
   testing::Values(
     OutcomeCase{ "Success", RequestKind::NonIdempotent, Success("body"), 200, true },
+    OutcomeCase{ "SuccessWithoutStamp", RequestKind::Idempotent, Success("body", ""), 502, false },
     OutcomeCase{ "NotFound", RequestKind::Idempotent, Status(404), 404, true },
     OutcomeCase{ "ServerError", RequestKind::NonIdempotent, Status(500), 500, true },
     OutcomeCase{ "UnavailableButMayHaveRun", RequestKind::NonIdempotent, Status(503), 502, false },
