Let instances of a large fleet hedge

Cause: on the grown deployments no request was ever sent twice (extra=0 in every log line): each of 79 instances may save 1.25 tokens, and a hedge needed one token and one more that was kept for retries. Change: hedges leave a quarter of the saved tokens for retries instead of a whole one; three quarters of the bound's slack may be saved instead of half. Test: Router.HedgesAsPartOfALargeFleet.

--- a/src/process/extra_attempt_budget.h
+++ b/src/process/extra_attempt_budget.h
@@ -24,6 +24,9 @@
   {
   }
 
+  /// Largest number of saved tokens.
+  double MaxTokens() const { return maxTokens_; }
+
   /// Changes the largest number of saved tokens, for example when the number of instances that share a bound changes.
   void SetMaxTokens(double aMaxTokens)
   {
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -11,9 +11,9 @@
 /// Part of the shared bound of extra arrivals that the instances use; the rest allows for requests that one of them
 /// counts earlier or later than the targets do.
 constexpr double kExtraReserve = 0.85;
-/// Part of the slack of that bound that may be saved up as tokens. The windows slide, so a saved token can be used at
-/// the end of one and earned again in the next.
-constexpr double kSlackReserve = 0.5;
+/// Part of the slack of that bound that the instances may save up as tokens. In any window an instance sends at most its
+/// saved tokens and what it earns in the window. The rest is for instances that restart with all their tokens.
+constexpr double kSlackReserve = 0.75;
 /// Time in which configuration and targets arrive at an instance that has just started.
 constexpr Micros kRetryAfterStart = Millis(250);
 /// Calls in flight to a target whose pool names no number of connections.
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -9,8 +9,9 @@
 /// Usual time of a call until the first replies have shown it; part of the objective, so that it fits fast and slow
 /// routes.
 constexpr double kFirstUsualTimeShare = 0.2;
-/// Tokens that hedges leave for retries after failures.
-constexpr double kTokensKeptForRetries = 1;
+/// Part of the saved tokens that hedges leave for retries after failures. A share, because an instance of a large fleet
+/// may save little more than one token.
+constexpr double kTokensKeptForRetries = 0.25;
 
 constexpr bool
 IsNotRunStatus(unsigned aStatus)
@@ -130,7 +131,7 @@
     return;
   }
   ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
-  if (!budget.TryTake(kTokensKeptForRetries)) {
+  if (!budget.TryTake(kTokensKeptForRetries * budget.MaxTokens())) {
     return;
   }
   if (!TrySend(true)) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -121,6 +121,18 @@
   EXPECT_EQ(reply.missingShards_, 0U);
 }
 
+/// Guards against a fleet so large that no instance may hedge at all: with 80 instances each may save 1.9 tokens of 198.
+TEST(Router, HedgesAsPartOfALargeFleet)
+{
+  RouterFixture fixture({ InstanceId("entry-1"), DataCentre("dc-a"), Millis(3), 0.2, 198 });
+  fixture.SetRoutes({ RouterFixture::GatherRoute(2, 1.0) });
+  fixture.SetShardTargets(2, 3);
+  fixture.router_.SetInstanceCount(79);
+  fixture.Submit("/gather/x");
+  fixture.timers_.Advance(Millis(60));
+  EXPECT_EQ(fixture.link_.sent_.size(), 4U);
+}
+
 /// Guards against waiting for a shard beyond the objective when enough of the others are in.
 TEST(Router, AnswersWithoutASilentShardBeforeTheObjectivePasses)
 {
