--- a/cmake/entry_only.cmake
+++ b/cmake/entry_only.cmake
@@ -1,7 +1,6 @@
 # The build for machines that run only ibisrock-entry. It compiles what the program needs of the library, so that it
 # needs few packages and the process maps few shared libraries.
 file(GLOB ENTRY_SOURCES CONFIGURE_DEPENDS src/entry/*.cpp platform/*.cpp)
-list(FILTER ENTRY_SOURCES EXCLUDE REGEX "emulator")
 add_executable(ibisrock-entry ${ENTRY_SOURCES} ${LOOP_SOURCES}
   src/adapters/socket_address.cpp src/base/timer_service.cpp src/base/unit_text.cpp src/base/verdict.cpp
   src/process/component_log.cpp src/process/latency_tracker.cpp src/process/pool_state.cpp
