Plan for the time that an instance takes to answer

Cause: on machines with 0.12 to 0.5 cores half of the gathered answers reached the caller 0 to 3 ms after the objective. Change: ReplyLag measures this time at each such end, once the loop is free again, and gathers end that much earlier, with 3 ms for what an instance cannot see. Ruled out: links (3.5 KB of an answer take 1 ms at 25 Mbit/s) and waiting to be read (the calls of a request start 4 to 6 ms after it). Tests: AnswerTiming, ReplyLag, Router.AnswersEarlierWhenItsAnswersTakeTime.

--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -11,8 +11,8 @@
 /// Part of the shared bound of extra arrivals that the instances use; the rest allows for requests that one of them
 /// counts earlier or later than the targets do.
 constexpr double kExtraReserve = 0.85;
-/// Part of the slack of that bound that the instances may save up as tokens. In any window an instance sends at most its
-/// saved tokens and what it earns in the window. The rest is for instances that restart with all their tokens.
+/// Part of the slack of that bound that the instances may save up as tokens. In any window an instance sends at most
+/// its saved tokens and what it earns in the window. The rest is for instances that restart with all their tokens.
 constexpr double kSlackReserve = 0.75;
 /// Time in which configuration and targets arrive at an instance that has just started.
 constexpr Micros kRetryAfterStart = Millis(250);
@@ -34,7 +34,8 @@
            aSettings.dataCentre_,
            aPools,
            kExtraReserve * aSettings.extraShare_,
-           kSlackReserve * aSettings.extraSlack_ };
+           kSlackReserve * aSettings.extraSlack_,
+           {} };
 }
 
 } // namespace
@@ -131,7 +132,7 @@
     Refuse(*aRequest, discoveryCurrent_ ? 404 : 503, Reason::UnknownService, aOnReply);
     return RunId();
   }
-  const AnswerTiming timing = PlanTiming(*route, *aRequest, settings_.callerDelay_);
+  const AnswerTiming timing = PlanTiming(*route, *aRequest, { settings_.callerDelay_, context_.replyLag_.Reserve() });
   if (timing.deadline_ <= timers_.Now()) {
     Refuse(*aRequest, 503, Reason::Expired, aOnReply);
     return RunId();
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -5,6 +5,7 @@
 #include "base/target_link.h"
 #include "base/timer_service.h"
 #include "process/pool_state.h"
+#include "process/reply_lag.h"
 #include "process/route_state.h"
 #include "process/target_directory.h"
 
@@ -22,6 +23,7 @@
   /// Share of the requests to a pool that may be sent once more, and the tokens that may be saved up.
   double extraShare_ = 0;
   double maxExtraTokens_ = 0;
+  ReplyLag replyLag_{};
 
   PoolState& Pool(const PoolName& aName)
   {
--- a/src/request/answer_timing.cpp
+++ b/src/request/answer_timing.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Time to merge and write an answer on a machine with a quarter of a core, with a reserve for other work of the loop.
-constexpr Micros kOwnTime = Millis(3);
+/// Largest part of the objective that is planned for this instance's own time. A slower instance misses the objective
+/// rather than to leave out most of the shards.
+constexpr double kLargestOwnShare = 0.35;
 /// One-way delays that a caller has seen when a request arrives on a kept connection, and on a new one.
 constexpr int kDelaysKept = 1;
 constexpr int kDelaysNew = 3;
@@ -15,14 +16,16 @@
 } // namespace
 
 AnswerTiming
-PlanTiming(const Route& aRoute, const CallerRequest& aRequest, Micros aCallerDelay)
+PlanTiming(const Route& aRoute, const CallerRequest& aRequest, const AnswerDelays& aDelays)
 {
   const int delays = (aRequest.isFirstOnConnection_ ? kDelaysNew : kDelaysKept) + 1;
   const Micros left = std::min(aRequest.timeLeft_.value_or(aRoute.timeout_), aRoute.timeout_);
+  const Micros largestOwn(static_cast<Micros::rep>(kLargestOwnShare * static_cast<double>(aRoute.objective_.count())));
+  const Micros own = std::min(aDelays.own_, largestOwn);
   AnswerTiming timing;
   timing.deadline_ = aRequest.receivedAt_ + left;
-  timing.cutoff_ = std::min(aRequest.receivedAt_ + aRoute.objective_ - delays * aCallerDelay - kOwnTime,
-                            timing.deadline_ - aCallerDelay);
+  timing.cutoff_ = std::min(aRequest.receivedAt_ + aRoute.objective_ - delays * aDelays.caller_ - own,
+                            timing.deadline_ - aDelays.caller_);
   return timing;
 }
 
--- a/src/request/answer_timing.h
+++ b/src/request/answer_timing.h
@@ -15,9 +15,17 @@
   TimePoint deadline_;
 };
 
-/// aCallerDelay is the one-way delay between callers and this instance.
+/// Time that an answer needs besides the targets' work.
+struct AnswerDelays
+{
+  /// One way between callers and this instance.
+  Micros caller_;
+  /// From the decision to answer until the answer is written.
+  Micros own_;
+};
+
 AnswerTiming
-PlanTiming(const Route& aRoute, const CallerRequest& aRequest, Micros aCallerDelay);
+PlanTiming(const Route& aRoute, const CallerRequest& aRequest, const AnswerDelays& aDelays);
 
 } // namespace ibisrock
 
--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -79,7 +79,15 @@
 void
 GatherRun::OnCutoff()
 {
+  const bool ends = HasEnough(covered_);
   EndIfDecided();
+  if (ends) {
+    // Measured when the loop is free again, because the kernel may send the answer only then.
+    RoutingContext& context = scope_.context_;
+    context.timers_.After(Micros::zero(), [&context, cutoff = timing_.cutoff_] {
+      context.replyLag_.Observe(context.timers_.Now() - cutoff);
+    });
+  }
 }
 
 void
