Serve all HTTP on event loops and drop the server of cxxtools

Cause: three red tests could not be mended with cxxtools: a slow request was closed without a reply, a header beyond its buffer got an empty reply, and bytes that are not HTTP got a 500 without a verdict. It also held a thread for each request. Change: HttpServer keeps its interface and runs on CallerServer, with handlers on a pool of threads that grows; the patches for the backlog and the peer's address of cxxtools are gone. A length that no number holds is still 413. Ruled out: another error responder in cxxtools, which has no hook for these cases.

--- a/bench/connect_burst.cpp
+++ b/bench/connect_burst.cpp
@@ -25,7 +25,7 @@
   --rounds N        Bursts [default: 10].
   --min-threads N   Threads kept by the server [default: 5].
   --max-threads N   Most threads of the server [default: 200].
-  --backlog N       Waiting connections; 0 is the default of cxxtools [default: 0].
+  --backlog N       Connections that may wait to be accepted [default: 1024].
 )";
 
 constexpr auto kWorkTime = std::chrono::milliseconds(20);
--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -20,8 +20,6 @@
 constexpr size_t kMostPending = 64 << 10;
 /// Time that a caller gets to close after the last reply.
 constexpr Micros kLingerTime = Seconds(1);
-/// Time that the body of a request may take.
-constexpr Micros kBodyTimeout = Seconds(10);
 /// Longest time that a caller may ask for; it keeps sums of times in range.
 constexpr int64_t kLongestWaitMs = 3'600'000;
 
@@ -44,6 +42,24 @@
   return text.data();
 }
 
+/// Whether a header states a length that is a number, but one that the parser cannot hold.
+bool
+StatesHugeLength(std::string_view aHeader)
+{
+  constexpr size_t kMostDigits = 18;
+  while (!aHeader.empty()) {
+    const std::string_view line = aHeader.substr(0, aHeader.find("\r\n"));
+    aHeader.remove_prefix(std::min(line.size() + 2, aHeader.size()));
+    const size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !IsSameName(line.substr(0, colon), "Content-Length")) {
+      continue;
+    }
+    const std::string_view value = line.substr(std::min(line.find_first_not_of(' ', colon + 1), line.size()));
+    return value.size() > kMostDigits && value.find_first_not_of("0123456789") == std::string_view::npos;
+  }
+  return false;
+}
+
 std::string_view
 ToStd(boost::beast::string_view aText)
 {
@@ -65,6 +81,8 @@
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  const auto peer = socket_.remote_endpoint(ignored);
+  peer_ = peer.address().to_string(ignored) + ':' + std::to_string(peer.port());
   NewParser();
   WaitReadable();
 }
@@ -138,7 +156,7 @@
       break;
     }
     if (error) {
-      OnParseError(error);
+      OnParseError(error, aBytes);
       return;
     }
     if (parser_->is_done()) {
@@ -168,49 +186,43 @@
 }
 
 void
-CallerConnection::OnParseError(const boost::system::error_code& aError)
+CallerConnection::OnParseError(const boost::system::error_code& aError, std::string_view aHeader)
 {
   if (aError == http::error::header_limit) {
-    ReplyToFault(431);
-  } else if (aError == http::error::body_limit) {
-    ReplyToFault(413);
+    ReplyToFault(RequestFault::HeaderTooLarge);
+  } else if (aError == http::error::body_limit ||
+             (aError == http::error::bad_content_length && StatesHugeLength(aHeader))) {
+    ReplyToFault(RequestFault::BodyTooLarge);
   } else {
-    ReplyToFault(400);
+    ReplyToFault(RequestFault::Malformed);
   }
 }
 
 /// Refuses a request that cannot be forwarded; what follows on the connection cannot be trusted.
 void
-CallerConnection::ReplyToFault(unsigned aStatus)
+CallerConnection::ReplyToFault(RequestFault aFault)
 {
   closeAfterReply_ = true;
   requestId_.clear();
   state_ = State::Serving;
-  Reply(MakeErrorReply(aStatus, Reason::Malformed));
+  Reply(server_.settings_.makeFaultReply_(aFault));
 }
 
-/// Status of the refusal for a request whose framing or destination is ambiguous.
-std::optional<unsigned>
-CallerConnection::FindFault() const
+/// Whether the framing or the destination of a request is ambiguous.
+bool
+CallerConnection::IsAmbiguous() const
 {
   const auto& message = parser_->get();
-  if (message.version() >= 11 && message.count(http::field::host) != 1) {
-    return 400;
-  }
-  if (message.count(http::field::transfer_encoding) > 0 && !parser_->chunked()) {
-    return 400;
-  }
-  if (message.target().empty() || message.target().front() != '/') {
-    return 400;
-  }
-  return std::nullopt;
+  return message.count(http::field::host) > 1 ||
+         (message.count(http::field::transfer_encoding) > 0 && !parser_->chunked()) || message.target().empty() ||
+         message.target().front() != '/';
 }
 
 void
 CallerConnection::OnRequest()
 {
-  if (auto status = FindFault()) {
-    ReplyToFault(*status);
+  if (IsAmbiguous()) {
+    ReplyToFault(RequestFault::Malformed);
     return;
   }
   closeAfterReply_ = !parser_->get().keep_alive();
@@ -233,6 +245,7 @@
 std::shared_ptr<CallerRequest>
 CallerConnection::TakeRequest()
 {
+  const bool isChunked = parser_->chunked();
   auto message = parser_->release();
   parser_.reset();
   auto request = std::make_shared<CallerRequest>();
@@ -240,6 +253,8 @@
   request->target_ = ToStd(message.target());
   request->receivedAt_ = server_.timers_.Now();
   request->isFirstOnConnection_ = isFirst_;
+  request->isChunked_ = isChunked;
+  request->peer_ = peer_;
   isFirst_ = false;
   const std::string connection(ToStd(message[http::field::connection]));
   for (const auto& field : message) {
@@ -247,11 +262,11 @@
     const std::string_view value = ToStd(field.value());
     if (field.name() == http::field::host) {
       request->host_ = value;
-    } else if (IsSameName(name, server_.names_.requestId_)) {
+    } else if (IsSameName(name, server_.settings_.names_.requestId_)) {
       request->id_ = value;
-    } else if (IsSameName(name, server_.names_.timeLeft_)) {
+    } else if (IsSameName(name, server_.settings_.names_.timeLeft_)) {
       request->timeLeft_ = ParseMillis(value);
-    } else if (!IsSameName(name, server_.names_.expectedTarget_) && !IsHopByHop(name, connection)) {
+    } else if (!IsSameName(name, server_.settings_.names_.expectedTarget_) && !IsHopByHop(name, connection)) {
       request->fields_.push_back({ std::string(name), std::string(value) });
     }
   }
@@ -263,7 +278,7 @@
 CallerConnection::Reply(CallerReply aReply)
 {
   onLeft_ = nullptr;
-  closeAfterReply_ = closeAfterReply_ || server_.draining_;
+  closeAfterReply_ = closeAfterReply_ || aReply.closes_ || server_.draining_;
   std::string head = FormatHead(aReply);
   Write(std::move(head), isHead_ ? nullptr : aReply.body_);
 }
@@ -275,19 +290,19 @@
   head += std::string(ToStd(http::obsolete_reason(http::int_to_status(aReply.status_)))) + "\r\n";
   bool hasId = false;
   for (const HeaderField& field : aReply.fields_) {
-    hasId = hasId || IsSameName(field.name_, server_.names_.requestId_);
+    hasId = hasId || IsSameName(field.name_, server_.settings_.names_.requestId_);
     AppendField(head, field.name_, field.value_);
   }
   if (!hasId && !requestId_.empty()) {
-    AppendField(head, server_.names_.requestId_, requestId_);
+    AppendField(head, server_.settings_.names_.requestId_, requestId_);
   }
   if (!aReply.stamps_.empty()) {
     std::string stamps;
     for (const std::string& stamp : aReply.stamps_) {
       stamps += (stamps.empty() ? "" : ", ") + stamp;
     }
-    AppendField(head, server_.names_.partStamps_, stamps);
-    AppendField(head, server_.names_.missingShards_, std::to_string(aReply.missingShards_));
+    AppendField(head, server_.settings_.names_.partStamps_, stamps);
+    AppendField(head, server_.settings_.names_.missingShards_, std::to_string(aReply.missingShards_));
   }
   if (aReply.retryAfter_) {
     AppendField(head, "Retry-After", FormatSeconds(*aReply.retryAfter_));
@@ -356,9 +371,9 @@
       Close();
     }
   } else if (state_ == State::Reading) {
-    const Micros limit = parser_->is_header_done() ? kBodyTimeout : server_.limits_.headerTimeout_;
+    const Micros limit = parser_->is_header_done() ? server_.limits_.bodyTimeout_ : server_.limits_.headerTimeout_;
     if (elapsed > limit) {
-      ReplyToFault(408);
+      ReplyToFault(RequestFault::TooSlow);
     }
   }
 }
--- a/src/adapters/caller_connection.h
+++ b/src/adapters/caller_connection.h
@@ -43,11 +43,11 @@
   void OnReadable();
   void NewParser();
   void Consume(std::string_view aBytes);
-  void OnParseError(const boost::system::error_code& aError);
+  void OnParseError(const boost::system::error_code& aError, std::string_view aHeader);
   void OnRequest();
   std::shared_ptr<CallerRequest> TakeRequest();
-  std::optional<unsigned> FindFault() const;
-  void ReplyToFault(unsigned aStatus);
+  bool IsAmbiguous() const;
+  void ReplyToFault(RequestFault aFault);
   void Reply(CallerReply aReply);
   std::string FormatHead(const CallerReply& aReply) const;
   void Write(std::string aHead, std::shared_ptr<const std::string> aBody);
@@ -67,6 +67,7 @@
   bool closeAfterReply_ = false;
   bool isHead_ = false;
   std::string requestId_;
+  std::string peer_;
   uint64_t requestNumber_ = 0;
   CallerServer::OnLeft onLeft_;
   std::string head_;
--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -1,8 +1,11 @@
 #include "adapters/caller_server.h"
 
 #include "adapters/caller_connection.h"
+#include "request/error_reply.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 #include <vector>
 
 namespace ibisrock::adapters {
@@ -11,8 +14,6 @@
 
 namespace {
 
-/// All connections of a data centre may come at once when another one fails.
-constexpr int kBacklog = 1024;
 /// Pause after a failed accept, for example without free descriptors.
 constexpr Micros kAcceptPause = Millis(50);
 /// Time-outs of connections are checked this often, so they are exact to this time.
@@ -20,10 +21,25 @@
 
 } // namespace
 
-CallerServer::CallerServer(asio::io_context& aLoop, TimerService& aTimers, HeaderNames aNames, Handler aHandler)
+CallerReply
+MakeFaultReply(RequestFault aFault)
+{
+  constexpr std::array<std::pair<RequestFault, unsigned>, 4> kStatuses{ { { RequestFault::Malformed, 400 },
+                                                                          { RequestFault::HeaderTooLarge, 431 },
+                                                                          { RequestFault::BodyTooLarge, 413 },
+                                                                          { RequestFault::TooSlow, 408 } } };
+  for (const auto& [fault, status] : kStatuses) {
+    if (fault == aFault) {
+      return MakeErrorReply(status, Reason::Malformed);
+    }
+  }
+  return MakeErrorReply(400, Reason::Malformed);
+}
+
+CallerServer::CallerServer(asio::io_context& aLoop, TimerService& aTimers, Settings aSettings, Handler aHandler)
   : loop_(aLoop)
   , timers_(aTimers)
-  , names_(std::move(aNames))
+  , settings_(std::move(aSettings))
   , handler_(std::move(aHandler))
   , acceptor_(aLoop)
 {
@@ -32,26 +48,26 @@
 std::unique_ptr<CallerServer>
 CallerServer::Create(asio::io_context& aLoop,
                      TimerService& aTimers,
-                     const SocketAddress& aAddress,
-                     HeaderNames aNames,
+                     Settings aSettings,
                      Handler aHandler,
                      LastReason& aReason)
 {
-  std::unique_ptr<CallerServer> server(new CallerServer(aLoop, aTimers, std::move(aNames), std::move(aHandler)));
+  std::unique_ptr<CallerServer> server(new CallerServer(aLoop, aTimers, std::move(aSettings), std::move(aHandler)));
+  const SocketAddress& address = server->settings_.address_;
   boost::system::error_code error;
-  const auto ip = asio::ip::make_address(aAddress.ip_, error);
+  const auto ip = asio::ip::make_address(address.ip_, error);
   if (!error) {
     server->acceptor_.open(asio::ip::tcp::v4(), error);
   }
   if (!error) {
     server->acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    server->acceptor_.bind({ ip, aAddress.port_ }, error);
+    server->acceptor_.bind({ ip, address.port_ }, error);
   }
   if (!error) {
-    server->acceptor_.listen(kBacklog, error);
+    server->acceptor_.listen(server->settings_.backlog_, error);
   }
   if (error) {
-    aReason.Set("cannot listen on " + aAddress.ip_ + ":" + std::to_string(aAddress.port_) + ": " + error.message());
+    aReason.Set("cannot listen on " + address.ip_ + ":" + std::to_string(address.port_) + ": " + error.message());
     return nullptr;
   }
   server->Accept();
--- a/src/adapters/caller_server.h
+++ b/src/adapters/caller_server.h
@@ -17,6 +17,19 @@
 
 class CallerConnection;
 
+/// Why a request could not be read.
+enum class RequestFault : uint8_t
+{
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+  TooSlow,
+};
+
+/// The reply to such a request, with the status of HTTP for it.
+CallerReply
+MakeFaultReply(RequestFault aFault);
+
 /// Serves HTTP to callers on one event loop.
 class CallerServer
 {
@@ -28,10 +41,18 @@
   /// left.
   using Handler = std::function<OnLeft(std::shared_ptr<const CallerRequest>, OnReply)>;
 
+  struct Settings
+  {
+    SocketAddress address_;
+    HeaderNames names_{};
+    /// Connections that may wait to be accepted; all connections of a data centre may come when another one fails.
+    int backlog_ = 1024;
+    std::function<CallerReply(RequestFault)> makeFaultReply_ = &MakeFaultReply;
+  };
+
   static std::unique_ptr<CallerServer> Create(boost::asio::io_context& aLoop,
                                               TimerService& aTimers,
-                                              const SocketAddress& aAddress,
-                                              HeaderNames aNames,
+                                              Settings aSettings,
                                               Handler aHandler,
                                               LastReason& aReason);
   ~CallerServer();
@@ -54,13 +75,13 @@
 private:
   friend class CallerConnection;
 
-  CallerServer(boost::asio::io_context& aLoop, TimerService& aTimers, HeaderNames aNames, Handler aHandler);
+  CallerServer(boost::asio::io_context& aLoop, TimerService& aTimers, Settings aSettings, Handler aHandler);
   void Accept();
   void Sweep();
 
   boost::asio::io_context& loop_;
   TimerService& timers_;
-  const HeaderNames names_;
+  const Settings settings_;
   const Handler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   CallerLimits limits_;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -1,23 +1,15 @@
 #include "adapters/http_server.h"
 
 #include "adapters/api_error.h"
-#include "adapters/listen_backlog.h"
-#include "adapters/peer_address.h"
-#include "adapters/socket_address.h"
+#include "adapters/caller_server.h"
+#include "adapters/loop_timer_service.h"
+#include "adapters/worker_pool.h"
 
 #include <algorithm>
-#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <cctype>
-#include <cstring>
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/regex.h>
 #include <exception>
-#include <stdexcept>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -26,216 +18,166 @@
 
 namespace {
 
-namespace http = cxxtools::http;
+/// Largest header that is read. Only a sender that is not a caller of ours sends more.
+constexpr size_t kLargestHeader = 8 << 10;
 
-/// A request that is refused before its handler is called.
-class RequestRefused : public std::runtime_error
+std::string_view
+FieldOf(const CallerRequest& aRequest, std::string_view aName)
 {
-public:
-  RequestRefused(unsigned aStatus, const char* aReason, const std::string& aMessage)
-    : std::runtime_error(aMessage)
-    , status_(aStatus)
-    , reason_(aReason)
-  {
-  }
-
-  const unsigned status_;
-  const char* const reason_;
-};
-
-void
-CheckHeaderSize(const http::RequestHeader& aHeader, size_t aLimit)
-{
-  size_t size = 0;
-  for (auto entry = aHeader.begin(); entry != aHeader.end(); ++entry) {
-    size += std::strlen(entry->first) + std::strlen(entry->second);
-  }
-  if (size > aLimit) {
-    throw RequestRefused(413, "too-large", "the header has more than " + std::to_string(aLimit) + " bytes");
+  for (const HeaderField& field : aRequest.fields_) {
+    if (IsSameName(field.name_, aName)) {
+      return field.value_;
+    }
   }
+  return {};
 }
 
-/// A body up to this many times the limit is read and dropped before the 413. Closing a connection with unread bytes
-/// resets it, and the caller would lose the reply.
-constexpr size_t kDropFactor = 16;
-
 HttpReply
 BodyTooLarge(size_t aLimit)
 {
   return NotRunReply(413, "too-large", "the body has more than " + std::to_string(aLimit) + " bytes");
 }
 
-/// Refuses a length that cxxtools would read as another number. cxxtools does not decode chunked bodies and would pass
-/// an empty body on.
-void
-CheckContentLength(const http::RequestHeader& aHeader, size_t aLimit)
+/// The refusal of a request that is over a limit, or no value.
+std::optional<HttpReply>
+CheckLimits(const CallerRequest& aRequest, const HttpServerSettings& aSettings)
 {
-  if (aHeader.hasHeader("Transfer-Encoding")) {
-    throw RequestRefused(411, "length-required", "a body needs the header Content-Length, not Transfer-Encoding");
+  size_t size = aRequest.host_.size();
+  for (const HeaderField& field : aRequest.fields_) {
+    size += field.name_.size() + field.value_.size();
   }
-  const char* text = aHeader.getHeader("Content-Length");
-  if (text == nullptr) {
-    return;
+  if (size > aSettings.maxHeader_) {
+    return NotRunReply(413, "too-large", "the header has more than " + std::to_string(aSettings.maxHeader_) + " bytes");
   }
-  const std::string_view length(text);
-  const bool isNumber = !length.empty() && std::all_of(length.begin(), length.end(), [](unsigned char aLetter) {
-    return std::isdigit(aLetter) != 0;
-  });
-  if (!isNumber) {
-    throw RequestRefused(400, "malformed", "header Content-Length must be a whole number");
-  }
-  constexpr size_t kMostDigits = 18;
-  if (length.size() > kMostDigits || aHeader.contentLength() > aLimit * kDropFactor) {
-    throw RequestRefused(413, "too-large", "the body has more than " + std::to_string(aLimit) + " bytes");
+  if (aRequest.isChunked_) {
+    return NotRunReply(411, "length-required", "a body needs the header Content-Length, not Transfer-Encoding");
   }
+  return std::nullopt;
 }
 
-void
-WriteReply(const HttpReply& aFrom, std::ostream& aOut, http::Reply& aReply)
+HttpRequest
+MakeRequest(const CallerRequest& aRequest)
 {
-  aReply.httpReturn(aFrom.status_, aFrom.status_ < 400 ? "OK" : "Error");
-  aReply.setHeader("Content-Type", aFrom.contentType_.c_str());
-  for (const auto& [name, value] : aFrom.headers_) {
-    aReply.setHeader(name.c_str(), value.c_str());
-  }
-  aOut << aFrom.body_;
+  const size_t question = aRequest.target_.find('?');
+  return { aRequest.method_,
+           aRequest.target_.substr(0, question),
+           question == std::string::npos ? "" : aRequest.target_.substr(question + 1),
+           *aRequest.body_,
+           [&aRequest](const char* aName) { return std::string(FieldOf(aRequest, aName)); },
+           aRequest.peer_ };
 }
 
-/// Checks the limits of a request, passes it to the handler and turns an exception into a 500.
-class HandlerResponder : public http::Responder
+CallerReply
+ToCallerReply(HttpReply aReply)
 {
-public:
-  HandlerResponder(http::Service& aService, const HttpServerSettings& aSettings, const HttpHandler& aHandler)
-    : http::Responder(aService)
-    , settings_(aSettings)
-    , handler_(aHandler)
-  {
-  }
-
-  void beginRequest(cxxtools::net::TcpSocket& aSocket, std::istream& aIn, http::Request& aRequest) override
-  {
-    http::Responder::beginRequest(aSocket, aIn, aRequest);
-    peer_ = PeerAddress(aSocket);
-    CheckHeaderSize(aRequest.header(), settings_.maxHeader_);
-    CheckContentLength(aRequest.header(), settings_.maxBody_);
-    dropsBody_ = aRequest.header().contentLength() > settings_.maxBody_;
-  }
-
-  /// Drops a body that is too large instead of keeping it.
-  std::size_t readBody(std::istream& aIn) override
-  {
-    if (!dropsBody_) {
-      return http::Responder::readBody(aIn);
-    }
-    // Reads only what has arrived: asking for more would block this thread until the caller sends it.
-    std::array<char, 4096> dropped{};
-    std::size_t size = 0;
-    for (std::streamsize arrived = 0; (arrived = aIn.rdbuf()->in_avail()) > 0;) {
-      aIn.read(dropped.data(), std::min(arrived, static_cast<std::streamsize>(dropped.size())));
-      size += static_cast<std::size_t>(aIn.gcount());
+  CallerReply reply;
+  reply.status_ = aReply.status_;
+  reply.fields_.push_back({ "Content-Type", aReply.contentType_ });
+  for (auto& [name, value] : aReply.headers_) {
+    reply.closes_ = reply.closes_ || (IsSameName(name, "Connection") && value == "close");
+    if (!IsSameName(name, "Connection")) {
+      reply.fields_.push_back({ name, value });
     }
-    return size;
   }
+  reply.body_ = std::make_shared<std::string>(std::move(aReply.body_));
+  return reply;
+}
 
-  void reply(std::ostream& aOut, http::Request& aRequest, http::Reply& aReply) override
-  {
-    const HttpRequest request{ aRequest.method(),
-                               aRequest.url(),
-                               aRequest.qparams(),
-                               aRequest.bodyStr(),
-                               [&aRequest](const char* aName) {
-                                 const char* value = aRequest.getHeader(aName);
-                                 return std::string(value == nullptr ? "" : value);
-                               },
-                               peer_ };
-    HttpReply reply;
-    try {
-      reply = dropsBody_ ? BodyTooLarge(settings_.maxBody_) : handler_(request);
-    } catch (const std::exception& error) {
-      reply = { 500, "text/plain", {}, std::string("internal error: ") + error.what() + "\n" };
-    }
-    WriteReply(reply, aOut, aReply);
+/// Runs the handler on a request within the limits, and turns an exception into a 500.
+HttpReply
+Answer(const CallerRequest& aRequest, const HttpServerSettings& aSettings, const HttpHandler& aHandler)
+{
+  if (auto refusal = CheckLimits(aRequest, aSettings)) {
+    return *refusal;
+  }
+  try {
+    return aHandler(MakeRequest(aRequest));
+  } catch (const std::exception& error) {
+    return { 500, "text/plain", {}, std::string("internal error: ") + error.what() + "\n" };
   }
+}
 
-  /// Answers a request that was refused or could not be read. The rest of it is unread, so the connection is closed.
-  void replyError(std::ostream& aOut,
-                  http::Request& /*aRequest*/,
-                  http::Reply& aReply,
-                  const std::exception& aError) override
-  {
-    const auto* refused = dynamic_cast<const RequestRefused*>(&aError);
-    HttpReply reply = refused != nullptr ? NotRunReply(refused->status_, refused->reason_, refused->what())
-                                         : NotRunReply(400, "malformed", "the request could not be read");
-    reply.headers_["Connection"] = "close";
-    WriteReply(reply, aOut, aReply);
+/// The reply to a request that could not be read.
+CallerReply
+MakeFaultReply(RequestFault aFault, size_t aMaxBody)
+{
+  switch (aFault) {
+    case RequestFault::BodyTooLarge:
+      return ToCallerReply(BodyTooLarge(aMaxBody));
+    case RequestFault::TooSlow:
+      return ToCallerReply(NotRunReply(408, "too-slow", "the request did not arrive in time"));
+    default:
+      return ToCallerReply(NotRunReply(400, "malformed", "the request could not be read"));
   }
+}
 
-private:
-  const HttpServerSettings& settings_;
-  const HttpHandler& handler_;
-  std::string peer_;
-  bool dropsBody_ = false;
-};
+} // namespace
 
-class HandlerService : public http::Service
+class HttpServer::Impl
 {
 public:
-  HandlerService(HttpServerSettings aSettings, HttpHandler aHandler)
+  Impl(HttpServerSettings aSettings, HttpHandler aHandler)
     : settings_(std::move(aSettings))
     , handler_(std::move(aHandler))
+    , workers_(std::make_unique<WorkerPool>(settings_.minThreads_, settings_.maxThreads_))
   {
   }
 
-protected:
-  http::Responder* createResponder(const http::Request& /*aRequest*/) override
+  ~Impl()
   {
-    return new HandlerResponder(*this, settings_, handler_);
+    workers_.reset();
+    work_.reset();
+    loop_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
   }
-  void releaseResponder(http::Responder* aResponder) override { delete aResponder; }
-
-private:
-  const HttpServerSettings settings_;
-  HttpHandler handler_;
-};
 
-cxxtools::Milliseconds
-ToMilliseconds(Micros aTime)
-{
-  return cxxtools::Milliseconds(static_cast<double>(aTime.count()) / 1000.0);
-}
-
-} // namespace
-
-class HttpServer::Impl
-{
-public:
-  Impl(const HttpServerSettings& aSettings, const SocketAddress& aAddress, HttpHandler aHandler)
-    : service_(aSettings, std::move(aHandler))
-    , server_(loop_)
+  bool Listen(const SocketAddress& aAddress, LastReason& aReason)
   {
-    server_.minThreads(aSettings.minThreads_);
-    server_.maxThreads(aSettings.maxThreads_);
-    server_.readTimeout(ToMilliseconds(aSettings.readTimeout_));
-    server_.keepAliveTimeout(ToMilliseconds(aSettings.keepAlive_));
-    server_.addService(cxxtools::Regex(".*"), service_);
-    server_.listen(aAddress.ip_, aAddress.port_);
-    LastReason reason;
-    if (aSettings.backlog_ != 0 && !SetListenBacklog(aAddress, aSettings.backlog_, reason)) {
-      throw std::runtime_error(reason.Text());
+    CallerServer::Settings settings;
+    settings.address_ = aAddress;
+    // Nothing is taken out of the header, because the handler looks for its own fields.
+    settings.names_ = { "", "", "", "", "", "", "" };
+    settings.backlog_ = static_cast<int>(settings_.backlog_);
+    settings.makeFaultReply_ = [this](RequestFault aFault) { return MakeFaultReply(aFault, settings_.maxBody_); };
+    server_ = CallerServer::Create(
+      loop_,
+      timers_,
+      std::move(settings),
+      [this](std::shared_ptr<const CallerRequest> aRequest, CallerServer::OnReply aOnReply) {
+        Dispatch(std::move(aRequest), std::move(aOnReply));
+        return CallerServer::OnLeft();
+      },
+      aReason);
+    if (!server_) {
+      return false;
     }
+    server_->SetLimits({ .maxHeader_ = kLargestHeader,
+                         .maxBody_ = settings_.maxBody_,
+                         .headerTimeout_ = settings_.readTimeout_,
+                         .bodyTimeout_ = settings_.readTimeout_,
+                         .idleTimeout_ = settings_.keepAlive_ });
     thread_ = std::thread([this] { loop_.run(); });
+    return true;
   }
 
-  ~Impl()
+private:
+  void Dispatch(std::shared_ptr<const CallerRequest> aRequest, CallerServer::OnReply aOnReply)
   {
-    loop_.exit();
-    thread_.join();
+    workers_->Add([this, request = std::move(aRequest), onReply = std::move(aOnReply)] {
+      auto reply = std::make_shared<CallerReply>(ToCallerReply(Answer(*request, settings_, handler_)));
+      boost::asio::post(loop_, [onReply, reply] { onReply(std::move(*reply)); });
+    });
   }
 
-private:
-  HandlerService service_;
-  cxxtools::EventLoop loop_;
-  http::Server server_;
+  const HttpServerSettings settings_;
+  const HttpHandler handler_;
+  boost::asio::io_context loop_{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{ loop_.get_executor() };
+  LoopTimerService timers_{ loop_ };
+  std::unique_ptr<CallerServer> server_;
+  std::unique_ptr<WorkerPool> workers_;
   std::thread thread_;
 };
 
@@ -253,13 +195,11 @@
   if (!address) {
     return std::nullopt;
   }
-  try {
-    return std::unique_ptr<HttpServer>(
-      new HttpServer(std::make_unique<Impl>(aSettings, *address, std::move(aHandler))));
-  } catch (const std::exception& error) {
-    aReason.Set("cannot listen on " + aSettings.address_ + ": " + error.what());
+  auto impl = std::make_unique<Impl>(aSettings, std::move(aHandler));
+  if (!impl->Listen(*address, aReason)) {
     return std::nullopt;
   }
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
 }
 
 } // namespace ibisrock::adapters
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -46,11 +46,11 @@
   /// Each request that is being served holds one thread.
   unsigned maxThreads_ = 200;
   /// Connections that may wait to be accepted. A connection beyond them is retried by the client's kernel after 1 s.
-  /// Zero leaves the backlog of cxxtools.
   unsigned backlog_ = 1024;
   /// Largest body in bytes; a larger one is refused with 413.
   size_t maxBody_ = size_t{ 64 } * 1024 * 1024;
-  /// Largest sum of header names and values in bytes; a larger one is refused with 413. cxxtools holds at most 4096.
+  /// Largest sum of header names and values in bytes; a larger one is refused with 413, and one of more than 8 KiB with
+  /// 400.
   size_t maxHeader_ = 4096;
   /// Time for a request to arrive once its first byte has arrived.
   Micros readTimeout_ = Seconds(5);
@@ -58,7 +58,8 @@
   Micros keepAlive_ = Seconds(15);
 };
 
-/// A cxxtools HTTP server with one handler for all paths, which runs on the server's threads.
+/// An HTTP server with one handler for all paths, for handlers that block: connections are served by one event loop,
+/// handlers run on threads.
 class HttpServer
 {
 public:
--- a/src/adapters/worker_pool.cpp
+++ b/src/adapters/worker_pool.cpp
@@ -5,6 +5,12 @@
 namespace ibisrock::adapters {
 
 WorkerPool::WorkerPool(unsigned aThreads)
+  : WorkerPool(aThreads, aThreads)
+{
+}
+
+WorkerPool::WorkerPool(unsigned aThreads, unsigned aMostThreads)
+  : mostThreads_(aMostThreads)
 {
   for (unsigned index = 0; index < aThreads; index++) {
     threads_.emplace_back([this] { Run(); });
@@ -29,6 +35,9 @@
   {
     std::lock_guard lock(mutex_);
     work_.push_back(std::move(aWork));
+    if (work_.size() > idle_ && threads_.size() < mostThreads_) {
+      threads_.emplace_back([this] { Run(); });
+    }
   }
   changed_.notify_one();
 }
@@ -38,7 +47,9 @@
 {
   std::unique_lock lock(mutex_);
   while (true) {
+    idle_++;
     changed_.wait(lock, [this] { return stopping_ || !work_.empty(); });
+    idle_--;
     if (work_.empty()) {
       return;
     }
--- a/src/base/http_message.h
+++ b/src/base/http_message.h
@@ -34,6 +34,10 @@
   TimePoint receivedAt_;
   /// The request came first on its connection, so the caller has also waited for the connection.
   bool isFirstOnConnection_ = false;
+  /// The body came in chunks.
+  bool isChunked_ = false;
+  /// "ip:port" of the other end of the connection.
+  std::string peer_;
 };
 
 /// What a caller gets. stamps_ and missingShards_ are set for gathered answers only.
@@ -45,6 +49,8 @@
   std::optional<Micros> retryAfter_;
   std::vector<std::string> stamps_;
   size_t missingShards_ = 0;
+  /// The connection is closed after the reply.
+  bool closes_ = false;
 };
 
 } // namespace ibisrock
--- a/src/version/route_table.h
+++ b/src/version/route_table.h
@@ -64,6 +64,7 @@
   size_t maxHeader_ = 16384;
   size_t maxBody_ = 262144;
   Micros headerTimeout_ = Seconds(3);
+  Micros bodyTimeout_ = Seconds(10);
   Micros idleTimeout_ = Seconds(15);
 };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -121,7 +121,8 @@
   EXPECT_EQ(reply.missingShards_, 0U);
 }
 
-/// Guards against a fleet so large that no instance may hedge at all: with 80 instances each may save 1.9 tokens of 198.
+/// Guards against a fleet so large that no instance may hedge at all: with 80 instances each may save 1.9 tokens of
+/// 198.
 TEST(Router, HedgesAsPartOfALargeFleet)
 {
   RouterFixture fixture({ InstanceId("entry-1"), DataCentre("dc-a"), Millis(3), 0.2, 198 });
