--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -190,7 +190,8 @@
 void
 LoopHttpConnection::OnEndOfStream(const std::string& aWhy)
 {
-  if (onReply_ && parser_ && aWhy.empty()) {
+  // Without a first byte the parser would make an empty reply of the close.
+  if (onReply_ && parser_ && parser_->got_some() && aWhy.empty()) {
     boost::system::error_code error;
     parser_->put_eof(error);
     if (!error && parser_->is_done()) {
--- /dev/null
+++ b/tests/target_link_test.cpp
@@ -0,0 +1,274 @@
+#include "adapters/http_target_link.h"
+#include "adapters/loop_timer_service.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace ibisrock::adapters {
+namespace {
+
+namespace asio = boost::asio;
+
+/// A target that answers the requests of each connection with given bytes, in order, and may close afterwards.
+class ScriptedTarget
+{
+public:
+  struct Step
+  {
+    std::string bytes_;
+    bool closes_ = false;
+  };
+
+  ScriptedTarget(asio::io_context& aLoop, std::vector<Step> aSteps)
+    : acceptor_(aLoop, { asio::ip::make_address("127.0.0.1"), 0 })
+    , steps_(std::move(aSteps))
+  {
+    Accept();
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+  size_t connections_ = 0;
+  std::vector<std::string> heads_;
+
+private:
+  struct Connection
+  {
+    explicit Connection(asio::ip::tcp::socket aSocket)
+      : socket_(std::move(aSocket))
+    {
+    }
+    asio::ip::tcp::socket socket_;
+    asio::streambuf input_;
+  };
+
+  void Accept()
+  {
+    acceptor_.async_accept([this](const boost::system::error_code& aError, asio::ip::tcp::socket aSocket) {
+      if (!aError) {
+        connections_++;
+        Serve(std::make_shared<Connection>(std::move(aSocket)));
+        Accept();
+      }
+    });
+  }
+
+  void Serve(const std::shared_ptr<Connection>& aConnection)
+  {
+    asio::async_read_until(aConnection->socket_,
+                           aConnection->input_,
+                           "\r\n\r\n",
+                           [this, aConnection](const boost::system::error_code& aError, size_t aSize) {
+                             if (aError) {
+                               return;
+                             }
+                             const auto data = aConnection->input_.data();
+                             heads_.emplace_back(asio::buffers_begin(data), asio::buffers_begin(data) + aSize);
+                             aConnection->input_.consume(aSize);
+                             Answer(aConnection);
+                           });
+  }
+
+  void Answer(const std::shared_ptr<Connection>& aConnection)
+  {
+    const Step step = next_ < steps_.size() ? steps_[next_] : Step{ "", true };
+    next_++;
+    boost::system::error_code ignored;
+    asio::write(aConnection->socket_, asio::buffer(step.bytes_), ignored);
+    if (step.closes_) {
+      aConnection->socket_.close(ignored);
+    } else {
+      Serve(aConnection);
+    }
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  const std::vector<Step> steps_;
+  size_t next_ = 0;
+};
+
+/// A link on a loop, which runs until a call has ended.
+class LinkFixture
+{
+public:
+  TargetOutcome Call(const std::string& aAddress, const std::string& aId = "r1")
+  {
+    auto request = std::make_shared<CallerRequest>();
+    request->method_ = "GET";
+    request->target_ = "/a?b=1";
+    request->host_ = "h";
+    request->id_ = aId;
+    request->fields_ = { { "X-Own", "kept" } };
+    TargetOutcome outcome;
+    bool ended = false;
+    link_.Send({ TargetName("t"), TargetAddress(aAddress), request, Seconds(2) }, [&](TargetOutcome aOutcome) {
+      outcome = std::move(aOutcome);
+      ended = true;
+    });
+    while (!ended) {
+      loop_.run_one();
+    }
+    return outcome;
+  }
+
+  /// Runs what is ready, so that closes by the target are seen.
+  void Settle()
+  {
+    loop_.restart();
+    loop_.run_for(std::chrono::milliseconds(20));
+  }
+
+  asio::io_context loop_;
+  LoopTimerService timers_{ loop_ };
+  HttpTargetLink link_{ loop_, timers_, HeaderNames() };
+};
+
+std::string
+Reply(const std::string& aStatus, const std::string& aFields, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + " X\r\n" + aFields + "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+constexpr const char* kOwn = "Ibisrock-Request-Id: r1\r\nIbisrock-Stamp: s\r\n";
+constexpr const char* kOther = "Ibisrock-Request-Id: r0\r\nIbisrock-Stamp: z\r\n";
+
+struct ReplyCase
+{
+  const char* name_;
+  ScriptedTarget::Step step_;
+  Verdict verdict_;
+  Reason reason_;
+  unsigned status_;
+  std::string body_;
+};
+
+class ReplyOfATarget : public testing::TestWithParam<ReplyCase>
+{};
+
+/// Guards against bytes of a faulty target that pass for the reply to a request.
+TEST_P(ReplyOfATarget, GivesTheOutcome)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { GetParam().step_ });
+  const TargetOutcome outcome = fixture.Call(target.Address());
+  EXPECT_EQ(outcome.verdict_, GetParam().verdict_);
+  EXPECT_EQ(outcome.reason_, GetParam().reason_);
+  EXPECT_EQ(outcome.status_, GetParam().status_);
+  EXPECT_EQ(outcome.body_ ? *outcome.body_ : "", GetParam().body_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  TargetLink,
+  ReplyOfATarget,
+  testing::Values(
+    ReplyCase{ "Whole", { Reply("200", kOwn, "body") }, Verdict::Ran, Reason::None, 200, "body" },
+    ReplyCase{ "ReplyOfAnotherRequestFirst",
+               { Reply("200", kOther, "wrong") + Reply("200", kOwn, "body") },
+               Verdict::Ran,
+               Reason::None,
+               200,
+               "body" },
+    ReplyCase{ "OnlyTheReplyOfAnotherRequest",
+               { Reply("200", kOther, "wrong"), true },
+               Verdict::MayHaveRun,
+               Reason::ConnectionLost,
+               0,
+               "" },
+    ReplyCase{ "Continue",
+               { "HTTP/1.1 100 Continue\r\n\r\n" + Reply("200", kOwn, "body") },
+               Verdict::Ran,
+               Reason::None,
+               200,
+               "body" },
+    ReplyCase{ "Truncated",
+               { std::string("HTTP/1.1 200 X\r\n") + kOwn + "Content-Length: 9\r\n\r\nbody", true },
+               Verdict::MayHaveRun,
+               Reason::ConnectionLost,
+               0,
+               "" },
+    ReplyCase{ "WithoutLength",
+               { std::string("HTTP/1.1 200 X\r\n") + kOwn + "\r\nbody", true },
+               Verdict::Ran,
+               Reason::None,
+               200,
+               "body" },
+    ReplyCase{ "NotHttp", { "paddle\r\n\r\n" }, Verdict::MayHaveRun, Reason::ConnectionLost, 0, "" },
+    ReplyCase{ "ClosedWithoutReply", { "", true }, Verdict::MayHaveRun, Reason::ConnectionLost, 0, "" },
+    ReplyCase{ "Encoded",
+               { Reply("200", std::string(kOwn) + "Content-Encoding: gzip\r\n", "x") },
+               Verdict::MayHaveRun,
+               Reason::TargetError,
+               0,
+               "" },
+    ReplyCase{ "Shed", { Reply("503", "Ibisrock-Not-Run: 1\r\n", "") }, Verdict::NotRun, Reason::Overloaded, 0, "" },
+    ReplyCase{ "UnavailableWithoutNotRun", { Reply("503", kOwn, "") }, Verdict::Ran, Reason::TargetError, 503, "" },
+    ReplyCase{ "AnotherTarget", { Reply("421", "", "") }, Verdict::NotRun, Reason::NotOwner, 0, "" }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against a connection to a port without a target that counts as a run.
+TEST(TargetLink, RefusedConnectionIsNotRun)
+{
+  LinkFixture fixture;
+  std::string address;
+  {
+    ScriptedTarget target(fixture.loop_, {});
+    address = target.Address();
+  }
+  const TargetOutcome outcome = fixture.Call(address);
+  EXPECT_EQ(outcome.verdict_, Verdict::NotRun);
+  EXPECT_EQ(outcome.reason_, Reason::ConnectFailed);
+}
+
+/// Guards against headers that are lost or passed on where they should not be.
+TEST(TargetLink, ForwardsTheRequest)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { { Reply("200", kOwn, "") } });
+  fixture.Call(target.Address());
+  ASSERT_EQ(target.heads_.size(), 1U);
+  const std::string& head = target.heads_[0];
+  EXPECT_TRUE(head.starts_with("GET /a?b=1 HTTP/1.1\r\nHost: h\r\n")) << head;
+  for (const char* field :
+       { "Ibisrock-Request-Id: r1\r\n", "Ibisrock-Target: t\r\n", "X-Own: kept\r\n", "Ibisrock-Time-Left-Ms: " }) {
+    EXPECT_NE(head.find(field), std::string::npos) << field;
+  }
+}
+
+struct ReuseCase
+{
+  const char* name_;
+  std::string first_;
+  size_t connections_;
+};
+
+class ConnectionAfterAReply : public testing::TestWithParam<ReuseCase>
+{};
+
+/// Guards against a connection that is used again after bytes that belong to no request, and against a new connection
+/// for each request, which costs a target 6 ms of a slot.
+TEST_P(ConnectionAfterAReply, IsUsedAgainOnlyWhenClean)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { { GetParam().first_ }, { Reply("200", kOwn, "second") } });
+  fixture.Call(target.Address());
+  fixture.Settle();
+  const TargetOutcome outcome = fixture.Call(target.Address());
+  EXPECT_EQ(outcome.verdict_, Verdict::Ran);
+  EXPECT_EQ(*outcome.body_, "second");
+  EXPECT_EQ(target.connections_, GetParam().connections_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  TargetLink,
+  ConnectionAfterAReply,
+  testing::Values(ReuseCase{ "Clean", Reply("200", kOwn, "first"), 1 },
+                  ReuseCase{ "ExtraReply", Reply("200", kOwn, "first") + Reply("200", kOther, "extra"), 2 },
+                  ReuseCase{ "ExtraBytes", Reply("200", kOwn, "first") + "x", 2 },
+                  ReuseCase{ "AsksToClose", Reply("200", std::string(kOwn) + "Connection: close\r\n", "first"), 2 }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace ibisrock::adapters
