--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -232,9 +232,9 @@
   state_ = State::Serving;
   stateSince_ = server_.timers_.Now();
   const uint64_t number = ++requestNumber_;
-  auto onLeft = server_.handler_(std::move(request), [self = shared_from_this(), number](CallerReply aReply) {
+  auto onLeft = server_.handler_(std::move(request), [self = shared_from_this(), number](const CallerReply& aReply) {
     if (self->state_ == State::Serving && self->requestNumber_ == number) {
-      self->Reply(std::move(aReply));
+      self->Reply(aReply);
     }
   });
   if (state_ == State::Serving && requestNumber_ == number) {
@@ -275,7 +275,7 @@
 }
 
 void
-CallerConnection::Reply(CallerReply aReply)
+CallerConnection::Reply(const CallerReply& aReply)
 {
   onLeft_ = nullptr;
   closeAfterReply_ = closeAfterReply_ || aReply.closes_ || server_.draining_;
--- a/src/adapters/caller_connection.h
+++ b/src/adapters/caller_connection.h
@@ -48,7 +48,7 @@
   std::shared_ptr<CallerRequest> TakeRequest();
   bool IsAmbiguous() const;
   void ReplyToFault(RequestFault aFault);
-  void Reply(CallerReply aReply);
+  void Reply(const CallerReply& aReply);
   std::string FormatHead(const CallerReply& aReply) const;
   void Write(std::string aHead, std::shared_ptr<const std::string> aBody);
   void OnWritten(bool aIsComplete);
--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -91,14 +91,13 @@
 HttpTargetLink::KeepIdle(const TargetName& aTarget, const ConnectionPtr& aConnection)
 {
   const Micros keepAlive = aConnection->KeepAliveTime().value_or(kDefaultKeepAlive);
-  const Micros usable(static_cast<Micros::rep>(kKeepAliveShare * static_cast<double>(keepAlive.count())));
   aConnection->SetOnClosed([this, aTarget, raw = aConnection.get()] {
     auto found = idle_.find(aTarget);
     if (found != idle_.end()) {
       std::erase_if(found->second, [raw](const IdleConnection& aIdle) { return aIdle.connection_.get() == raw; });
     }
   });
-  idle_[aTarget].push_back({ aConnection, timers_.Now() + usable });
+  idle_[aTarget].push_back({ aConnection, timers_.Now() + Scale(keepAlive, kKeepAliveShare) });
 }
 
 void
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -66,26 +66,27 @@
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(aAddress.ip_, error);
   if (error) {
-    asio::post(loop_, [aOnConnected] { aOnConnected(false); });
+    asio::post(loop_, [onConnected = std::move(aOnConnected)] { onConnected(false); });
     return;
   }
-  socket_.async_connect({ ip, aAddress.port_ },
-                        [self = shared_from_this(), aOnConnected](const boost::system::error_code& aError) {
-                          if (aError == asio::error::operation_aborted) {
-                            return;
-                          }
-                          if (aError) {
-                            aOnConnected(false);
-                            return;
-                          }
-                          boost::system::error_code ignored;
-                          self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-                          self->socket_.non_blocking(true, ignored);
-                          self->open_ = true;
-                          self->reusable_ = true;
-                          self->WaitReadable();
-                          aOnConnected(true);
-                        });
+  socket_.async_connect(
+    { ip, aAddress.port_ },
+    [self = shared_from_this(), onConnected = std::move(aOnConnected)](const boost::system::error_code& aError) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (aError) {
+        onConnected(false);
+        return;
+      }
+      boost::system::error_code ignored;
+      self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+      self->socket_.non_blocking(true, ignored);
+      self->open_ = true;
+      self->reusable_ = true;
+      self->WaitReadable();
+      onConnected(true);
+    });
 }
 
 void
--- a/src/base/units.h
+++ b/src/base/units.h
@@ -22,6 +22,13 @@
 
 using TimePoint = MonotonicClock::time_point;
 
+/// aTime times aFactor.
+constexpr Micros
+Scale(Micros aTime, double aFactor)
+{
+  return Micros(static_cast<Micros::rep>(aFactor * static_cast<double>(aTime.count())));
+}
+
 /// A rate in events per second.
 struct PerSecond
 {
--- a/src/fakes/fake_targets.cpp
+++ b/src/fakes/fake_targets.cpp
@@ -46,7 +46,7 @@
     return aTarget.serviceTime_;
   }
   const double factor = 1 - aTarget.spread_ - aTarget.spread_ * std::log(1 - aRandom.Unit());
-  return Micros(static_cast<Micros::rep>(factor * static_cast<double>(aTarget.serviceTime_.count())));
+  return Scale(aTarget.serviceTime_, factor);
 }
 
 std::vector<Match>
--- a/src/process/reply_lag.h
+++ b/src/process/reply_lag.h
@@ -16,11 +16,11 @@
   void Observe(Micros aLag)
   {
     const double weight = aLag > usual_ ? kRise : kFall;
-    usual_ += Micros(static_cast<Micros::rep>(weight * static_cast<double>((aLag - usual_).count())));
+    usual_ += Scale(aLag - usual_, weight);
   }
 
-  /// Time to plan for. An answer that comes too late is worth a tenth of one that leaves out a few shards, so nearly all
-  /// answers must take less.
+  /// Time to plan for. An answer that comes too late is worth a tenth of one that leaves out a few shards, so nearly
+  /// all answers must take less.
   Micros Reserve() const { return usual_ + kMargin; }
 
 private:
--- a/src/process/route_state.cpp
+++ b/src/process/route_state.cpp
@@ -40,7 +40,7 @@
     mean_ = aTook;
     return;
   }
-  mean_ += Micros(static_cast<Micros::rep>(kMeanWeight * static_cast<double>((aTook - mean_).count())));
+  mean_ += Scale(aTook - mean_, kMeanWeight);
 }
 
 } // namespace ibisrock
--- a/src/request/answer_timing.cpp
+++ b/src/request/answer_timing.cpp
@@ -20,8 +20,7 @@
 {
   const int delays = (aRequest.isFirstOnConnection_ ? kDelaysNew : kDelaysKept) + 1;
   const Micros left = std::min(aRequest.timeLeft_.value_or(aRoute.timeout_), aRoute.timeout_);
-  const Micros largestOwn(static_cast<Micros::rep>(kLargestOwnShare * static_cast<double>(aRoute.objective_.count())));
-  const Micros own = std::min(aDelays.own_, largestOwn);
+  const Micros own = std::min(aDelays.own_, Scale(aRoute.objective_, kLargestOwnShare));
   AnswerTiming timing;
   timing.deadline_ = aRequest.receivedAt_ + left;
   timing.cutoff_ = std::min(aRequest.receivedAt_ + aRoute.objective_ - delays * aDelays.caller_ - own,
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -98,8 +98,7 @@
   const TargetCall call{ target->Record().name_, target->Record().address_, scope_.request_, scope_.deadline_ - now };
   auto id = std::make_shared<CallId>();
   *id = context.link_.Send(call, [this, id](TargetOutcome aOutcome) { OnOutcome(*id, std::move(aOutcome)); });
-  const Micros firstGuess(static_cast<Micros::rep>(kFirstUsualTimeShare * scope_.route_.objective_.count()));
-  const Micros expected = scope_.state_.UsualTime(firstGuess);
+  const Micros expected = scope_.state_.UsualTime(Scale(scope_.route_.objective_, kFirstUsualTimeShare));
   target->OnSent(*id, now, expected);
   tried_.push_back(target->Record().name_);
   attempts_.push_back({ *id, std::move(target), now, expected, aExtra });
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -41,7 +41,7 @@
     return;
   }
   const TimePoint now = scope_.context_.timers_.Now();
-  const Micros guess(static_cast<Micros::rep>(kFirstHedgeShare * scope_.route_.objective_.count()));
+  const Micros guess = Scale(scope_.route_.objective_, kFirstHedgeShare);
   const TimePoint hedgeAt = now + scope_.state_.HedgeDelay(now, guess);
   if (scope_.route_.kind_ == RequestKind::Idempotent && hedgeAt < timing_.deadline_) {
     Subscribe(hedgeAt, &RoutedRun::OnHedgeTime);
