--- a/cmake/entry_only.cmake
+++ b/cmake/entry_only.cmake
@@ -1,5 +1,7 @@
 # The build for machines that run only ibisrock-entry. It compiles what the program needs of the library, so that it
 # needs few packages and the process maps few shared libraries.
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(PROMETHEUS REQUIRED IMPORTED_TARGET prometheus-cpp-core)
 file(GLOB ENTRY_SOURCES CONFIGURE_DEPENDS src/entry/*.cpp platform/*.cpp)
 add_executable(ibisrock-entry ${ENTRY_SOURCES} ${LOOP_SOURCES}
   src/adapters/socket_address.cpp src/base/timer_service.cpp src/base/unit_text.cpp src/base/verdict.cpp
@@ -9,4 +11,4 @@
   src/request/gather_run.cpp src/request/pool_call.cpp src/request/record_merge.cpp src/request/relay_run.cpp
   src/request/routed_run.cpp src/version/route_table.cpp)
 target_include_directories(ibisrock-entry PRIVATE ${CMAKE_CURRENT_SOURCE_DIR} ${CMAKE_CURRENT_SOURCE_DIR}/src)
-target_link_libraries(ibisrock-entry PRIVATE Threads::Threads ibisrock_options)
+target_link_libraries(ibisrock-entry PRIVATE Threads::Threads PkgConfig::PROMETHEUS ibisrock_options)
--- a/src/entry/drain.h
+++ b/src/entry/drain.h
@@ -21,6 +21,8 @@
         std::function<void()> aOnDone);
 
   void Begin();
+  /// Holds for the next stop.
+  void SetStopTime(Micros aStopTime) { stopTime_ = aStopTime; }
   bool HasBegun() const { return begunAt_.has_value(); }
 
 private:
@@ -29,7 +31,7 @@
   TimerService& timers_;
   Router& router_;
   adapters::CallerServer& server_;
-  const Micros stopTime_;
+  Micros stopTime_;
   const std::function<void()> onDone_;
   std::optional<TimePoint> begunAt_;
   bool expired_ = false;
--- /dev/null
+++ b/src/entry/entry_metrics.cpp
@@ -0,0 +1,110 @@
+#include "entry/entry_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace ibisrock::entry {
+
+namespace {
+
+/// From the fastest relay to the longest time-out of a route, in seconds.
+const prometheus::Histogram::BucketBoundaries kBuckets{ 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.08, 0.1,
+                                                        0.15,  0.2,  0.4,  0.6,  1,    2,    5,    10 };
+
+double
+InSeconds(Micros aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+class EntryMetrics::Impl
+{
+public:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_ =
+    prometheus::BuildCounter().Name("ibisrock_requests_total").Help("Requests answered, by status").Register(registry_);
+  prometheus::Family<prometheus::Counter>& refused_ = prometheus::BuildCounter()
+                                                        .Name("ibisrock_refused_total")
+                                                        .Help("Requests refused before a target was asked, by reason")
+                                                        .Register(registry_);
+  prometheus::Counter& callersLeft_ = AddCounter("ibisrock_callers_left_total", "Callers that left before the answer");
+  prometheus::Counter& attempts_ = AddCounter("ibisrock_attempts_total", "Attempts at targets");
+  prometheus::Counter& extraAttempts_ =
+    AddCounter("ibisrock_extra_attempts_total", "Attempts beyond the first of a request or shard");
+  prometheus::Counter& missingShards_ =
+    AddCounter("ibisrock_missing_shards_total", "Shards left out of gathered answers");
+  prometheus::Histogram& relayed_ = AddHistogram("relayed");
+  prometheus::Histogram& gathered_ = AddHistogram("gathered");
+
+  void SetGauge(const char* aName, const char* aHelp, double aValue)
+  {
+    prometheus::BuildGauge().Name(aName).Help(aHelp).Register(registry_).Add({}).Set(aValue);
+  }
+
+private:
+  prometheus::Counter& AddCounter(const char* aName, const char* aHelp)
+  {
+    return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(registry_).Add({});
+  }
+
+  prometheus::Histogram& AddHistogram(const char* aKind)
+  {
+    return prometheus::BuildHistogram()
+      .Name("ibisrock_answer_seconds")
+      .Help("Time from a request to its answer, by kind of route")
+      .Register(registry_)
+      .Add({ { "kind", aKind } }, kBuckets);
+  }
+};
+
+EntryMetrics::EntryMetrics()
+  : impl_(std::make_unique<Impl>())
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void
+EntryMetrics::OnRefused(const CallerRequest&, unsigned aStatus, Reason aReason, ConfigVersion)
+{
+  impl_->requests_.Add({ { "status", std::to_string(aStatus) } }).Increment();
+  impl_->refused_.Add({ { "reason", std::string(ToString(aReason)) } }).Increment();
+}
+
+void
+EntryMetrics::OnRunEnded(const CallerRequest&, const Route& aRoute, ConfigVersion, const RunEnd& aEnd, Micros aTook)
+{
+  impl_->requests_.Add({ { "status", std::to_string(aEnd.reply_.status_) } }).Increment();
+  impl_->attempts_.Increment(static_cast<double>(aEnd.attempts_));
+  impl_->extraAttempts_.Increment(static_cast<double>(aEnd.extraAttempts_));
+  impl_->missingShards_.Increment(static_cast<double>(aEnd.reply_.missingShards_));
+  (aRoute.gather_ ? impl_->gathered_ : impl_->relayed_).Observe(InSeconds(aTook));
+}
+
+void
+EntryMetrics::OnCallerLeft(const CallerRequest&, const Route&, Micros)
+{
+  impl_->callersLeft_.Increment();
+}
+
+std::string
+EntryMetrics::Text(const EntryState& aState)
+{
+  const auto number = [](auto aValue) { return static_cast<double>(aValue); };
+  impl_->SetGauge("ibisrock_config_version", "Configuration in force", number(aState.configVersion_));
+  impl_->SetGauge("ibisrock_targets", "Targets known", number(aState.targets_));
+  impl_->SetGauge("ibisrock_instances", "Instances that share the targets", number(aState.instances_));
+  impl_->SetGauge("ibisrock_requests_in_flight", "Requests without an answer", number(aState.requestsInFlight_));
+  impl_->SetGauge("ibisrock_connections_opened", "Connections opened to targets", number(aState.connectionsOpened_));
+  impl_->SetGauge("ibisrock_store_calls", "Calls to the platform's store", number(aState.storeCalls_));
+  impl_->SetGauge("ibisrock_store_in_contact", "1 while the store answers", number(aState.storeInContact_));
+  impl_->SetGauge("ibisrock_ready", "1 while the instance is ready", number(aState.isReady_));
+  return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
+}
+
+} // namespace ibisrock::entry
--- /dev/null
+++ b/src/entry/entry_metrics.h
@@ -0,0 +1,49 @@
+#ifndef IBISROCK_ENTRY_ENTRY_METRICS_H
+#define IBISROCK_ENTRY_ENTRY_METRICS_H
+
+#include "process/router_log.h"
+
+#include <memory>
+#include <string>
+
+namespace ibisrock::entry {
+
+/// State of the process that is shown beside the counters.
+struct EntryState
+{
+  uint64_t configVersion_ = 0;
+  size_t targets_ = 0;
+  size_t instances_ = 0;
+  size_t requestsInFlight_ = 0;
+  uint64_t connectionsOpened_ = 0;
+  uint64_t storeCalls_ = 0;
+  bool storeInContact_ = false;
+  bool isReady_ = false;
+};
+
+/// Counts what a router decides, in a prometheus registry. Used on one thread.
+class EntryMetrics final : public RouterLog
+{
+public:
+  EntryMetrics();
+  ~EntryMetrics() override;
+
+  void OnRefused(const CallerRequest& aRequest, unsigned aStatus, Reason aReason, ConfigVersion aRoutes) override;
+  void OnRunEnded(const CallerRequest& aRequest,
+                  const Route& aRoute,
+                  ConfigVersion aRoutes,
+                  const RunEnd& aEnd,
+                  Micros aTook) override;
+  void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aTook) override;
+
+  /// All metrics in the text format of prometheus.
+  std::string Text(const EntryState& aState);
+
+private:
+  class Impl;
+  const std::unique_ptr<Impl> impl_;
+};
+
+} // namespace ibisrock::entry
+
+#endif
--- /dev/null
+++ b/src/entry/router_logs.h
@@ -0,0 +1,51 @@
+#ifndef IBISROCK_ENTRY_ROUTER_LOGS_H
+#define IBISROCK_ENTRY_ROUTER_LOGS_H
+
+#include "process/router_log.h"
+
+#include <initializer_list>
+#include <vector>
+
+namespace ibisrock::entry {
+
+/// Passes what a router decides on to several logs.
+class RouterLogs final : public RouterLog
+{
+public:
+  RouterLogs(std::initializer_list<RouterLog*> aLogs)
+    : logs_(aLogs)
+  {
+  }
+
+  void OnRefused(const CallerRequest& aRequest, unsigned aStatus, Reason aReason, ConfigVersion aRoutes) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnRefused(aRequest, aStatus, aReason, aRoutes);
+    }
+  }
+
+  void OnRunEnded(const CallerRequest& aRequest,
+                  const Route& aRoute,
+                  ConfigVersion aRoutes,
+                  const RunEnd& aEnd,
+                  Micros aTook) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnRunEnded(aRequest, aRoute, aRoutes, aEnd, aTook);
+    }
+  }
+
+  void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aTook) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnCallerLeft(aRequest, aRoute, aTook);
+    }
+  }
+
+private:
+  const std::vector<RouterLog*> logs_;
+};
+
+} // namespace ibisrock::entry
+
+#endif
--- a/src/process/extra_attempt_budget.h
+++ b/src/process/extra_attempt_budget.h
@@ -27,10 +27,11 @@
   /// Largest number of saved tokens.
   double MaxTokens() const { return maxTokens_; }
 
-  /// Changes the largest number of saved tokens, for example when the number of instances that share a bound changes.
-  void SetMaxTokens(double aMaxTokens)
+  /// Changes the bounds from now on, for example when the number of instances that share them changes.
+  void SetBounds(double aShare, double aMaxTokens)
   {
     std::lock_guard lock(mutex_);
+    share_ = aShare;
     maxTokens_ = aMaxTokens;
     tokens_ = std::min(maxTokens_, tokens_);
   }
@@ -61,7 +62,7 @@
 
 private:
   std::mutex mutex_;
-  const double share_;
+  double share_;
   double maxTokens_;
   double tokens_;
 };
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -33,8 +33,8 @@
            aTargets,
            aSettings.dataCentre_,
            aPools,
-           kExtraReserve * aSettings.extraShare_,
-           kSlackReserve * aSettings.extraSlack_,
+           kExtraReserve * aSettings.limits_.extraShare_,
+           kSlackReserve * aSettings.limits_.extraSlack_,
            {} };
 }
 
@@ -93,11 +93,26 @@
     return;
   }
   instances_ = count;
-  context_.maxExtraTokens_ = kSlackReserve * settings_.extraSlack_ / static_cast<double>(count);
+  ApplyBudgets();
+  ApplyLimits();
+}
+
+void
+Router::SetLimits(const RouterLimits& aLimits)
+{
+  settings_.limits_ = aLimits;
+  ApplyBudgets();
+}
+
+/// Gives this instance its share of the bounds of extra arrivals.
+void
+Router::ApplyBudgets()
+{
+  context_.extraShare_ = kExtraReserve * settings_.limits_.extraShare_;
+  context_.maxExtraTokens_ = kSlackReserve * settings_.limits_.extraSlack_ / static_cast<double>(instances_);
   for (auto& [name, pool] : pools_) {
-    pool.extra_.SetMaxTokens(context_.maxExtraTokens_);
+    pool.extra_.SetBounds(context_.extraShare_, context_.maxExtraTokens_);
   }
-  ApplyLimits();
 }
 
 /// Gives the target this instance's share of the connections of its pool.
@@ -132,7 +147,8 @@
     Refuse(*aRequest, discoveryCurrent_ ? 404 : 503, Reason::UnknownService, aOnReply);
     return RunId();
   }
-  const AnswerTiming timing = PlanTiming(*route, *aRequest, { settings_.callerDelay_, context_.replyLag_.Reserve() });
+  const AnswerTiming timing =
+    PlanTiming(*route, *aRequest, { settings_.limits_.callerDelay_, context_.replyLag_.Reserve() });
   if (timing.deadline_ <= timers_.Now()) {
     Refuse(*aRequest, 503, Reason::Expired, aOnReply);
     return RunId();
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -12,10 +12,9 @@
 
 namespace ibisrock {
 
-struct RouterSettings
+/// What may change while a router runs.
+struct RouterLimits
 {
-  InstanceId instance_;
-  DataCentre dataCentre_;
   /// One-way delay between callers and this instance.
   Micros callerDelay_ = Millis(3);
   /// Bound, over all instances, of the arrivals at a pool beyond the first of each request: a share of the requests...
@@ -24,6 +23,13 @@
   double extraSlack_ = 0;
 };
 
+struct RouterSettings
+{
+  InstanceId instance_;
+  DataCentre dataCentre_;
+  RouterLimits limits_;
+};
+
 /// Matches requests of callers to routes and runs them. Owns the routes in force, what was learned about them, the
 /// targets and the runs. Used on one thread.
 class Router
@@ -43,12 +49,14 @@
   void UpsertTarget(const TargetRecord& aRecord);
   void RemoveTarget(const TargetName& aName) { targets_.Remove(aName); }
   size_t TargetCount() const { return targets_.Size(); }
+  size_t InstanceCount() const { return instances_; }
 
   /// Whether configuration and targets come in. While they do not, a request that no known route fits may fit a newer
   /// one.
   void SetDiscoveryCurrent(bool aCurrent) { discoveryCurrent_ = aCurrent; }
   /// Number of instances that share the targets and the budgets.
   void SetInstanceCount(size_t aCount);
+  void SetLimits(const RouterLimits& aLimits);
 
   bool IsReady() const { return table_ != nullptr && hasTargets_; }
 
@@ -72,8 +80,9 @@
   void Retire(std::unique_ptr<RoutedRun> aRun);
   void ApplyLimit(const TargetPtr& aTarget) const;
   void ApplyLimits();
+  void ApplyBudgets();
 
-  const RouterSettings settings_;
+  RouterSettings settings_;
   TimerService& timers_;
   RouterLog* const log_;
   std::unordered_map<PoolName, PoolState> pools_;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -18,7 +18,10 @@
     router_.SetDiscoveryCurrent(true);
   }
 
-  static RouterSettings DefaultSettings() { return { InstanceId("entry-1"), DataCentre("dc-a"), Millis(3), 0.2, 54 }; }
+  static RouterSettings DefaultSettings()
+  {
+    return { InstanceId("entry-1"), DataCentre("dc-a"), { Millis(3), 0.2, 54 } };
+  }
 
   static Route MakeRoute(const std::string& aPrefix, RequestKind aKind)
   {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -125,7 +125,7 @@
 /// 198.
 TEST(Router, HedgesAsPartOfALargeFleet)
 {
-  RouterFixture fixture({ InstanceId("entry-1"), DataCentre("dc-a"), Millis(3), 0.2, 198 });
+  RouterFixture fixture({ InstanceId("entry-1"), DataCentre("dc-a"), { Millis(3), 0.2, 198 } });
   fixture.SetRoutes({ RouterFixture::GatherRoute(2, 1.0) });
   fixture.SetShardTargets(2, 3);
   fixture.router_.SetInstanceCount(79);
