Count abandoned calls against the share of connections

A call whose run had ended made room at once, but held its connection for up to 250 ms, so an instance opened more than its share; each reset cost an attempt and one more connection. Change: an abandoned call takes room until its connection is free again. Ruled out: too large shares (3 of 26 connections for each of 7 instances). Test: Router.KeepsToItsShareOfConnectionsWithAbandonedCalls.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -126,7 +126,7 @@
   } else if (!call.callback_) {
     // Abandoned before it was sent: the connection serves the next call.
     KeepIdle(call.call_.target_, call.connection_);
-    calls_.erase(found);
+    End(aId, {});
   } else {
     Write(aId, call);
   }
@@ -229,32 +229,32 @@
   auto found = calls_.find(aId);
   timers_.Cancel(found->second.timer_);
   Callback callback = std::move(found->second.callback_);
+  OnReleased onReleased = std::move(found->second.onReleased_);
   calls_.erase(found);
   if (callback) {
     callback(std::move(aOutcome));
+  } else if (onReleased) {
+    onReleased();
   }
 }
 
 void
-HttpTargetLink::AbandonCall(CallId aId, Abandon aHow)
+HttpTargetLink::AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased)
 {
-  auto found = calls_.find(aId);
-  if (found == calls_.end()) {
-    return;
-  }
-  Call& call = found->second;
+  Call& call = calls_.at(aId);
   call.callback_ = nullptr;
+  call.onReleased_ = std::move(aOnReleased);
   if (!call.sent_) {
     return;
   }
   if (aHow == Abandon::Stop) {
     call.connection_->Close();
-    calls_.erase(found);
+    End(aId, {});
     return;
   }
   call.timer_ = timers_.After(kAbandonedTime, [this, aId] {
     calls_.at(aId).connection_->Close();
-    calls_.erase(aId);
+    End(aId, {});
   });
 }
 
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -20,7 +20,7 @@
   ~HttpTargetLink() override;
 
   CallId Send(const TargetCall& aCall, Callback aCallback) override;
-  void AbandonCall(CallId aId, Abandon aHow) override;
+  void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) override;
   void Forget(const TargetName& aTarget) override;
 
   uint64_t ConnectionsOpened() const { return connectionsOpened_; }
@@ -35,6 +35,8 @@
     ConnectionPtr connection_;
     /// Null when the outcome is not wanted any more.
     Callback callback_;
+    /// Set when the call was abandoned and still holds its connection.
+    OnReleased onReleased_;
     TimerId timer_;
     bool sent_ = false;
   };
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -49,12 +49,15 @@
 {
 public:
   using Callback = std::function<void(TargetOutcome)>;
+  using OnReleased = std::function<void()>;
 
   virtual ~TargetLink() = default;
 
   /// Starts a call. aCallback is called once, never from within Send, unless the call is abandoned first.
   virtual CallId Send(const TargetCall& aCall, Callback aCallback) = 0;
-  virtual void AbandonCall(CallId aId, Abandon aHow) = 0;
+  /// Gives up the outcome of a call. aOnReleased is called once, possibly from within AbandonCall, when the call holds
+  /// no connection any more.
+  virtual void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) = 0;
   /// Closes the idle connections to a target that is gone.
   virtual void Forget(const TargetName& aTarget) = 0;
 };
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -57,7 +57,7 @@
 void
 Target::OnSent(CallId aCall, TimePoint aNow, Micros aExpected)
 {
-  inFlight_.push_back({ aCall, aNow, aExpected });
+  inFlight_.push_back({ aCall, aNow, aExpected, false });
   if (pause_ > Micros::zero()) {
     avoidedUntil_ = aNow + pause_;
   }
@@ -91,7 +91,9 @@
 void
 Target::OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected)
 {
-  Remove(aCall);
+  for (InFlightCall& call : inFlight_) {
+    call.abandoned_ = call.abandoned_ || call.id_ == aCall;
+  }
   // The call would have taken longer, so a short time so far says nothing.
   if (Ratio(aTook, aExpected) > Slowness(aNow)) {
     ObserveSlowness(aNow, Ratio(aTook, aExpected));
@@ -103,7 +105,9 @@
 {
   double slowness = 1 + (slowness_ - 1) * Remaining(aNow - slownessAt_);
   for (const InFlightCall& call : inFlight_) {
-    slowness = std::max(slowness, Ratio(aNow - call.sentAt_, call.expected_));
+    if (!call.abandoned_) {
+      slowness = std::max(slowness, Ratio(aNow - call.sentAt_, call.expected_));
+    }
   }
   return slowness * WarmUpFactor(aNow);
 }
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -57,8 +57,9 @@
   void OnFailure(CallId aCall, TimePoint aNow);
   /// The call could not reach the target at all.
   void OnUnreachable(CallId aCall, TimePoint aNow);
-  /// A call was given up after aTook, because another target was faster.
+  /// A call was given up after aTook, because another target was faster. It takes room until it is released.
   void OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected);
+  void OnReleased(CallId aCall) { Remove(aCall); }
 
   /// Recent time of calls over their usual time, including the calls that still wait; 1 is usual.
   double Slowness(TimePoint aNow) const;
@@ -71,6 +72,7 @@
     CallId id_;
     TimePoint sentAt_;
     Micros expected_;
+    bool abandoned_ = false;
   };
 
   void Remove(CallId aCall);
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -220,16 +220,21 @@
     waiting_.reset();
   }
   const TimePoint now = context.timers_.Now();
-  for (const Attempt& attempt : attempts_) {
-    context.link_.AbandonCall(attempt.id_, aHow);
-    attempt.target_->OnAbandoned(attempt.id_, now, now - attempt.sentAt_, attempt.expected_);
-    verdict_ = Combine(verdict_, Verdict::MayHaveRun);
-  }
+  const std::vector<Attempt> attempts = std::move(attempts_);
   attempts_.clear();
   if (IsPending()) {
     state_ = State::GivenUp;
   }
-  context.Pool(pool_).waiting_.OnRoom();
+  for (const Attempt& attempt : attempts) {
+    verdict_ = Combine(verdict_, Verdict::MayHaveRun);
+    attempt.target_->OnAbandoned(attempt.id_, now, now - attempt.sentAt_, attempt.expected_);
+    // The run may be gone when the connection is free again.
+    context.link_.AbandonCall(
+      attempt.id_, aHow, [target = attempt.target_, id = attempt.id_, &pool = context.Pool(pool_)] {
+        target->OnReleased(id);
+        pool.waiting_.OnRoom();
+      });
+  }
 }
 
 Verdict
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -22,27 +22,41 @@
     Callback callback_;
     bool ended_ = false;
     bool stopped_ = false;
+    OnReleased onReleased_;
   };
 
   CallId Send(const TargetCall& aCall, Callback aCallback) override
   {
-    sent_.push_back({ CallId(sent_.size() + 1), aCall, std::move(aCallback) });
+    Sent sent;
+    sent.id_ = CallId(sent_.size() + 1);
+    sent.call_ = aCall;
+    sent.callback_ = std::move(aCallback);
+    sent_.push_back(std::move(sent));
     return sent_.back().id_;
   }
 
-  void AbandonCall(CallId aId, Abandon aHow) override
+  /// A stopped call is released at once, another one by End.
+  void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) override
   {
     Sent& sent = sent_.at(aId.Value() - 1);
     sent.ended_ = true;
     sent.stopped_ = aHow == Abandon::Stop;
+    if (sent.stopped_) {
+      aOnReleased();
+    } else {
+      sent.onReleased_ = std::move(aOnReleased);
+    }
   }
 
   void Forget(const TargetName& aTarget) override { forgotten_.push_back(aTarget.Value()); }
 
-  /// Ends call number aIndex, unless it was abandoned.
+  /// Ends call number aIndex; of an abandoned one only its connection becomes free.
   void End(size_t aIndex, TargetOutcome aOutcome)
   {
     if (sent_.at(aIndex).ended_) {
+      if (OnReleased onReleased = std::move(sent_[aIndex].onReleased_)) {
+        onReleased();
+      }
       return;
     }
     sent_[aIndex].ended_ = true;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -201,6 +201,28 @@
   EXPECT_EQ(fixture.link_.Targets(), std::vector<std::string>{ "new/0" });
 }
 
+/// Replays the start of a new set of shards: all instances send at once, answers are slow, and gathers end before their
+/// calls. Guards against more connections than this instance's share, which the target resets.
+TEST(Router, KeepsToItsShareOfConnectionsWithAbandonedCalls)
+{
+  RouterFixture fixture;
+  fixture.router_.SetInstanceCount(10);
+  fixture.SetRoutes({ RouterFixture::GatherRoute(2, 0.5) }, 1, 20);
+  fixture.SetTargets({ "shard-0", "shard-1" }, 1);
+  for (size_t i = 0; i < 2; i++) {
+    fixture.Submit("/gather/x");
+    fixture.link_.End(2 * i, Success("", "s"));
+  }
+  fixture.timers_.Advance(Millis(100));
+  ASSERT_EQ(fixture.replies_.size(), 2U);
+  // Both calls to shard-1 are abandoned and still hold the two connections.
+  fixture.Submit("/gather/x");
+  EXPECT_EQ(fixture.link_.sent_.size(), 5U);
+  fixture.link_.End(1, Success("", "late"));
+  EXPECT_EQ(fixture.link_.sent_.size(), 6U);
+  EXPECT_EQ(fixture.link_.Targets().back(), "shard-1/0");
+}
+
 /// What a request gets that no run can begin for.
 struct RefusalCase
 {
