Send less to targets that lose calls, and serve requests in time first

Change: what one target is given halves with each loss or refusal and grows with replies; calls that can still meet their objective are taken from the queue before late ones. Tests for the platform's decoding, discovery against the emulated store, and settings.

--- a/src/process/pool_state.h
+++ b/src/process/pool_state.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_PROCESS_POOL_STATE_H
 #define IBISROCK_PROCESS_POOL_STATE_H
 
+#include "base/units.h"
 #include "process/extra_attempt_budget.h"
 
 #include <cstdint>
@@ -10,8 +11,9 @@
 
 namespace ibisrock {
 
-/// Calls that wait until a target of their pool has room, the most urgent first, then in order of arrival. Load
-/// pattern: short bursts above the connections that one instance may use.
+/// Calls that wait until a target of their pool has room: those that can still meet their objective first, then the
+/// most urgent, then in order of arrival. Load pattern: bursts above what one instance may send, and a restart of the
+/// whole system, after which a queue in order of arrival would serve only requests that are late already.
 class RoomQueue
 {
 public:
@@ -19,14 +21,24 @@
   /// Returns false when the call still finds no room.
   using TryAgain = std::function<bool()>;
 
-  Position Add(unsigned aPriority, TryAgain aTryAgain);
+  /// aObjectiveEnds is the time after which the call is late.
+  Position Add(unsigned aPriority, TimePoint aObjectiveEnds, TryAgain aTryAgain);
   void Remove(const Position& aPosition) { waiting_.erase(aPosition); }
   size_t Size() const { return waiting_.size(); }
   /// Lets the first calls try again until one finds no room.
-  void OnRoom();
+  void OnRoom(TimePoint aNow);
 
 private:
-  std::map<Position, TryAgain> waiting_;
+  struct Waiting
+  {
+    TimePoint objectiveEnds_;
+    TryAgain tryAgain_;
+  };
+  using Calls = std::map<Position, Waiting>;
+
+  Calls::iterator First(TimePoint aNow);
+
+  Calls waiting_;
   uint64_t lastNumber_ = 0;
 };
 
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -82,7 +82,7 @@
   for (const TargetPtr& target : targets_.TargetsOf(aRecord.pool_)) {
     ApplyLimit(target);
   }
-  context_.Pool(aRecord.pool_).waiting_.OnRoom();
+  context_.Pool(aRecord.pool_).waiting_.OnRoom(timers_.Now());
 }
 
 void
@@ -131,7 +131,7 @@
 {
   targets_.ForEach([this](const TargetPtr& aTarget) { ApplyLimit(aTarget); });
   for (auto& [name, pool] : pools_) {
-    pool.waiting_.OnRoom();
+    pool.waiting_.OnRoom(timers_.Now());
   }
 }
 
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -12,6 +12,10 @@
 /// Time in which an observation without a successor loses half of its weight, so that a target that was slow is tried
 /// again.
 constexpr Micros kForgetting = Seconds(2);
+/// What is left of the allowed calls after a loss, and what one reply adds for each allowed call. Load pattern: many
+/// instances meet at a target whose queue is full, and each reset would bring one more connection.
+constexpr double kCut = 0.5;
+constexpr double kRaise = 0.5;
 /// Pauses between tries to reach a target that could not be reached, doubled from the first to the last.
 constexpr Micros kFirstPause = Millis(100);
 constexpr Micros kLastPause = Seconds(1);
@@ -54,6 +58,16 @@
   warmAt_ = aNow + aRecord.warmUpLeft_;
 }
 
+void
+Target::SetLimit(unsigned aLimit)
+{
+  if (aLimit == limit_) {
+    return;
+  }
+  limit_ = aLimit;
+  allowed_ = aLimit;
+}
+
 void
 Target::OnSent(CallId aCall, TimePoint aNow, Micros aExpected)
 {
@@ -69,6 +83,7 @@
   Remove(aCall);
   pause_ = {};
   avoidedUntil_ = {};
+  allowed_ = std::min(static_cast<double>(limit_), allowed_ + kRaise / allowed_);
   ObserveSlowness(aNow, Ratio(aTook, aExpected));
   ObserveFailure(aNow, false);
 }
@@ -77,6 +92,7 @@
 Target::OnFailure(CallId aCall, TimePoint aNow)
 {
   Remove(aCall);
+  allowed_ = std::max(1.0, kCut * allowed_);
   ObserveFailure(aNow, true);
 }
 
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -42,8 +42,10 @@
   void MarkGone() { gone_ = true; }
 
   /// Calls that this instance may have in flight to the target.
-  void SetLimit(unsigned aLimit) { limit_ = aLimit; }
-  bool HasRoom() const { return inFlight_.size() < limit_; }
+  void SetLimit(unsigned aLimit);
+  /// Whether one more call may be sent. Below the limit this follows from the target itself: losses and refusals halve
+  /// what it is given, replies raise it again.
+  bool HasRoom() const { return inFlight_.size() < static_cast<size_t>(allowed_); }
   size_t InFlight() const { return inFlight_.size(); }
 
   /// Whether recent failures to connect keep new work away. After each pause one call may try again.
@@ -83,6 +85,8 @@
   TargetRecord record_;
   bool gone_ = false;
   unsigned limit_ = 1;
+  /// Calls in flight that the target is found to bear; from 1 to limit_.
+  double allowed_ = 1;
   std::vector<InFlightCall> inFlight_;
   TimePoint warmAt_;
   double slowness_ = 1;
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -110,7 +110,8 @@
 PoolCall::WaitForRoom()
 {
   state_ = State::Waiting;
-  waiting_ = scope_.context_.Pool(pool_).waiting_.Add(scope_.route_.priority_, [this] { return TryAgain(); });
+  waiting_ = scope_.context_.Pool(pool_).waiting_.Add(
+    scope_.route_.priority_, scope_.objectiveEnds_, [this] { return TryAgain(); });
 }
 
 bool
@@ -146,7 +147,7 @@
   const Attempt attempt = std::move(*found);
   attempts_.erase(found);
   Observe(attempt, aOutcome);
-  scope_.context_.Pool(pool_).waiting_.OnRoom();
+  scope_.context_.Pool(pool_).waiting_.OnRoom(scope_.context_.timers_.Now());
   verdict_ = Combine(verdict_, aOutcome.verdict_);
   lastReason_ = aOutcome.reason_;
   if (IsFinal(aOutcome)) {
@@ -230,9 +231,11 @@
     attempt.target_->OnAbandoned(attempt.id_, now, now - attempt.sentAt_, attempt.expected_);
     // The run may be gone when the connection is free again.
     context.link_.AbandonCall(
-      attempt.id_, aHow, [target = attempt.target_, id = attempt.id_, &pool = context.Pool(pool_)] {
+      attempt.id_,
+      aHow,
+      [target = attempt.target_, id = attempt.id_, &pool = context.Pool(pool_), &timers = context.timers_] {
         target->OnReleased(id);
-        pool.waiting_.OnRoom();
+        pool.waiting_.OnRoom(timers.Now());
       });
   }
 }
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -20,6 +20,8 @@
   std::shared_ptr<const CallerRequest> request_;
   /// End of the time that the caller or the route allows.
   TimePoint deadline_;
+  /// End of the time within which an answer is worth most.
+  TimePoint objectiveEnds_;
 };
 
 /// Gets one reply to a request from a pool: chooses targets, retries, hedges, and waits for room. Callbacks to the
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -14,7 +14,7 @@
 
 RoutedRun::RoutedRun(const Plan& aPlan, OnEnd aOnEnd)
   : table_(aPlan.table_)
-  , scope_{ aPlan.context_, aPlan.route_, aPlan.state_, aPlan.request_, aPlan.timing_.deadline_ }
+  , scope_{ aPlan.context_, aPlan.route_, aPlan.state_, aPlan.request_, aPlan.timing_.deadline_, aPlan.timing_.cutoff_ }
   , timing_(aPlan.timing_)
   , onEnd_(std::move(aOnEnd))
 {
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,254 @@
+#include "adapters/loop_timer_service.h"
+#include "entry/entry_settings.h"
+#include "fake_target_link.h"
+#include "platform/decode.h"
+#include "platform/discovery.h"
+#include "platform/emulator/store_emulator.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisrock::platform {
+namespace {
+
+using nlohmann::json;
+
+json
+TargetEntry(const json& aChanges)
+{
+  json entry{ { "service", "s" }, { "address", "10.0.0.1:80" }, { "zone", "z" },
+              { "slots", 2 },     { "state", "ready" },         { "warmupLeftMs", 50 },
+              { "seqNo", 4 },     { "version", "v1" },          { "born", 1700000000000 } };
+  entry.update(aChanges);
+  return { { "meta", { { "name", "i-1" }, { "revision", 7 } } }, { "spec", entry } };
+}
+
+struct EntryCase
+{
+  const char* name_;
+  json object_;
+  bool isUsable_;
+  bool isLeaving_;
+};
+
+class EntryOfATarget : public testing::TestWithParam<EntryCase>
+{};
+
+/// Guards against entries of other writers that are taken for targets, or that hide the others.
+TEST_P(EntryOfATarget, IsReadOrRefusedWithAReason)
+{
+  LastReason reason;
+  const auto record = DecodeTarget(GetParam().object_, reason);
+  EXPECT_EQ(record.has_value(), GetParam().isUsable_) << reason.Text();
+  EXPECT_EQ(reason.Text().empty(), GetParam().isUsable_);
+  if (record) {
+    EXPECT_EQ(record->name_.Value(), "i-1");
+    EXPECT_EQ(record->isLeaving_, GetParam().isLeaving_);
+    EXPECT_EQ(record->warmUpLeft_, Millis(50));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Platform,
+  EntryOfATarget,
+  testing::Values(
+    EntryCase{ "Ready", TargetEntry(json::object()), true, false },
+    EntryCase{ "Draining", TargetEntry({ { "state", "draining" } }), true, true },
+    EntryCase{ "UnknownState", TargetEntry({ { "state", "resting" } }), false, false },
+    EntryCase{ "NoService", { { "meta", { { "name", "i-1" } } }, { "spec", json::object() } }, false, false },
+    EntryCase{ "AddressIsANumber", TargetEntry({ { "address", 5 } }), false, false },
+    EntryCase{ "AddressWithoutPort", TargetEntry({ { "address", "10.0.0.1" } }), false, false },
+    EntryCase{ "SlotsIsText", TargetEntry({ { "slots", "two" } }), false, false },
+    EntryCase{ "SpecIsText", { { "meta", { { "name", "i-1" } } }, { "spec", "x" } }, false, false },
+    EntryCase{ "NoMeta", { { "spec", json::object() } }, false, false },
+    EntryCase{ "NotAnObject", json("bytes"), false, false }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+json
+Configuration(uint64_t aVersion, const json& aRoute)
+{
+  json route{ { "name", "r" },       { "host", "h" },   { "pathPrefix", "/a/" },   { "routeType", "idempotent" },
+              { "timeoutMs", 1000 }, { "attempts", 2 }, { "targetLatencyMs", 60 }, { "priority", 1 },
+              { "service", "s" } };
+  route.update(aRoute);
+  return { { "version", aVersion },
+           { "routes", { route } },
+           { "services", { { { "name", "s" }, { "maxConns", 26 } } } },
+           { "limits", { { "maxHeaderBytes", 500 }, { "idleTimeoutMs", 15000 } } },
+           { "newField", 1 } };
+}
+
+/// Guards against a configuration that is understood in part only.
+TEST(Platform, ReadsTheConfiguration)
+{
+  LastReason reason;
+  auto table = DecodeConfiguration(Configuration(7, { { "newField", "x" } }), reason);
+  ASSERT_TRUE(table) << reason.Text();
+  EXPECT_EQ(table->Version(), ConfigVersion(7));
+  EXPECT_EQ(table->FindPool(PoolName("s"))->maxConnections_, 26U);
+  EXPECT_EQ(table->Limits().maxHeader_, 500U);
+  const Route* route = table->Find("H:80", "/a/b?c");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->kind_, RequestKind::Idempotent);
+  EXPECT_EQ(route->timeout_, Seconds(1));
+  EXPECT_EQ(route->objective_, Millis(60));
+  EXPECT_EQ(table->Find("h", "/b/"), nullptr);
+}
+
+/// Guards against half a configuration, and against a kind that may run twice by mistake.
+TEST(Platform, RefusesConfigurationsWithFaults)
+{
+  for (const json& change : { json{ { "timeoutMs", "soon" } },
+                              json{ { "pathPrefix", "a" } },
+                              json{ { "gather", json::array() }, { "topK", 5 } },
+                              json{ { "routeType", "non_idempotent" }, { "gather", { "s" } }, { "topK", 5 } },
+                              json{ { "trafficSplit", { { { "service", "s" }, { "weight", 0 } } } } } }) {
+    LastReason reason;
+    EXPECT_FALSE(DecodeConfiguration(Configuration(1, change), reason)) << change.dump();
+    EXPECT_FALSE(reason.Text().empty());
+  }
+  LastReason reason;
+  auto table = DecodeConfiguration(Configuration(1, { { "routeType", "new_kind" } }), reason);
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->Routes()[0].kind_, RequestKind::NonIdempotent);
+}
+
+struct NullLog final : LogSink
+{
+  void Write(LogLevel, const char*, const std::string&) override {}
+};
+
+/// Discovery that reads from an emulated store on one loop.
+class DiscoveryFixture
+{
+public:
+  DiscoveryFixture()
+  {
+    LastReason reason;
+    store_ = StoreEmulator::Create(loop_, timers_, { "127.0.0.1", 0 }, reason);
+    EXPECT_TRUE(store_) << reason.Text();
+    store_->Put("config", "main", Configuration(1, json::object()));
+    PutTarget("t1", "ready");
+    discovery_.emplace(
+      loop_, timers_, Discovery::Settings{ { "127.0.0.1", store_->Port() }, "entry-1", "z" }, router_, log_, [] {});
+    discovery_->Start();
+  }
+
+  void PutTarget(const std::string& aName, const std::string& aState)
+  {
+    store_->Put("servers", aName, TargetEntry({ { "state", aState } })["spec"]);
+  }
+
+  uint64_t Version() const { return router_.Routes() ? router_.Routes()->Version().Value() : 0; }
+
+  /// Runs the loop until aIsDone; false when that takes very long.
+  template<typename Condition>
+  bool RunUntil(Condition aIsDone)
+  {
+    const TimePoint end = timers_.Now() + Seconds(60);
+    while (!aIsDone()) {
+      if (timers_.Now() > end) {
+        return false;
+      }
+      loop_.run_one_for(std::chrono::milliseconds(100));
+    }
+    return true;
+  }
+
+  boost::asio::io_context loop_{ 1 };
+  adapters::LoopTimerService timers_{ loop_ };
+  Random random_{ 1 };
+  tests::FakeTargetLink link_;
+  NullLog log_;
+  Router router_{ {}, timers_, random_, link_, nullptr };
+  std::unique_ptr<StoreEmulator> store_;
+  std::optional<Discovery> discovery_;
+};
+
+/// Guards against an instance that does not notice a new version or a target that leaves.
+TEST(Discovery, FollowsTheStore)
+{
+  DiscoveryFixture fixture;
+  ASSERT_TRUE(fixture.RunUntil([&] { return fixture.router_.IsReady(); }));
+  EXPECT_EQ(fixture.Version(), 1U);
+  EXPECT_EQ(fixture.router_.TargetCount(), 1U);
+  fixture.store_->Put("config", "main", Configuration(5, json::object()));
+  fixture.PutTarget("t2", "ready");
+  ASSERT_TRUE(fixture.RunUntil([&] { return fixture.Version() == 5 && fixture.router_.TargetCount() == 2; }));
+  fixture.store_->Delete("servers", "t1");
+  ASSERT_TRUE(fixture.RunUntil([&] { return fixture.router_.TargetCount() == 1; }));
+  EXPECT_EQ(fixture.store_->Count("ibisrock-instances"), 1U);
+}
+
+/// Guards against changes that are missed while the store is away, without an answer or with its history lost, and
+/// against targets that are dropped although they register again after its return.
+TEST(Discovery, CatchesUpAfterAnOutage)
+{
+  for (const StoreMode mode : { StoreMode::Unavailable, StoreMode::Silent }) {
+    DiscoveryFixture fixture;
+    ASSERT_TRUE(fixture.RunUntil([&] { return fixture.router_.IsReady() && fixture.discovery_->IsInContact(); }));
+    fixture.store_->SetMode(mode);
+    ASSERT_TRUE(fixture.RunUntil([&] { return !fixture.discovery_->IsInContact(); }));
+    fixture.store_->Put("config", "main", Configuration(9, json::object()));
+    fixture.store_->Delete("servers", "t1");
+    fixture.store_->Compact();
+    fixture.store_->SetMode(StoreMode::Up);
+    ASSERT_TRUE(fixture.RunUntil([&] { return fixture.Version() == 9; }));
+    ASSERT_TRUE(fixture.RunUntil([&] { return fixture.discovery_->IsInContact(); }));
+    fixture.PutTarget("t1", "ready");
+    fixture.PutTarget("t2", "ready");
+    ASSERT_TRUE(fixture.RunUntil([&] { return fixture.router_.TargetCount() == 2; }));
+  }
+}
+
+struct SettingCase
+{
+  const char* name_;
+  std::string line_;
+  /// Part of the fault; empty when there is none.
+  std::string fault_;
+};
+
+class SettingOfAnEntry : public testing::TestWithParam<SettingCase>
+{};
+
+constexpr const char* kSettings = "# a comment\n"
+                                  "instance = entry-1\r\n"
+                                  "data-centre=z\n\n"
+                                  "listen = 127.0.0.1:1\n"
+                                  "ready-listen = 127.0.0.1:2\n"
+                                  "metrics-listen = 127.0.0.1:3\n"
+                                  "store = 127.0.0.1:4\n";
+
+/// Guards against wrong settings that are taken silently, and against unknown ones that keep an instance from starting.
+TEST_P(SettingOfAnEntry, IsCheckedWithItsName)
+{
+  std::vector<entry::SettingFault> faults;
+  std::vector<std::string> unknown;
+  const auto settings = entry::ReadEntrySettings(std::string(kSettings) + GetParam().line_, faults, unknown);
+  EXPECT_EQ(settings.has_value(), GetParam().fault_.empty());
+  if (!GetParam().fault_.empty()) {
+    ASSERT_EQ(faults.size(), 1U);
+    EXPECT_NE(entry::DescribeFault("file", faults[0]).find(GetParam().fault_), std::string::npos)
+      << entry::DescribeFault("file", faults[0]);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(EntrySettings,
+                         SettingOfAnEntry,
+                         testing::Values(SettingCase{ "Complete", "", "" },
+                                         SettingCase{ "Unknown", "colour = blue", "" },
+                                         SettingCase{ "Missing", "instance =", "instance: must be given" },
+                                         SettingCase{ "NameWithSlash", "instance = a/b", "file:9: instance" },
+                                         SettingCase{ "NoPort", "listen = 127.0.0.1", "listen" },
+                                         SettingCase{ "PortTooLarge", "store = 127.0.0.1:70000", "store" },
+                                         SettingCase{ "TimeWithoutUnit", "stop-time = 6", "stop-time" },
+                                         SettingCase{ "TimeTooShort", "stop-time = 10ms", "from 1 s" },
+                                         SettingCase{ "DelayNegative", "caller-delay = -3ms", "caller-delay" },
+                                         SettingCase{ "ShareAboveOne", "extra-share = 1.5", "from 0 to 1" },
+                                         SettingCase{ "ShareNotANumber", "extra-share = 0.2x", "extra-share" },
+                                         SettingCase{ "SlackIsNan", "extra-slack = nan", "extra-slack" },
+                                         SettingCase{ "NoEquals", "stop-time 6s", "not of the form" }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace ibisrock::platform
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -223,6 +223,54 @@
   EXPECT_EQ(fixture.link_.Targets().back(), "shard-1/0");
 }
 
+/// Replays a target whose queue is full and that resets connections. Guards against a storm in which each reset brings
+/// the next connection.
+TEST(Router, SendsLessToATargetThatLosesCalls)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::NonIdempotent) }, 1, 8);
+  fixture.SetTargets({ "pool" }, 1);
+  for (size_t i = 0; i < 8; i++) {
+    fixture.Submit("/relay/x");
+  }
+  ASSERT_EQ(fixture.link_.sent_.size(), 8U);
+  for (size_t i = 0; i < 7; i++) {
+    fixture.link_.End(i, Failure(Verdict::MayHaveRun, Reason::ConnectionLost));
+  }
+  // One call is in flight, and one is what the target is still given.
+  fixture.Submit("/relay/x");
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.link_.sent_.size(), 8U);
+  // Replies raise it again.
+  for (size_t i = 7; i < fixture.link_.sent_.size() && i < 12; i++) {
+    fixture.link_.End(i, Success("x"));
+    fixture.Submit("/relay/x");
+    fixture.Submit("/relay/x");
+  }
+  const auto inFlight = std::count_if(
+    fixture.link_.sent_.begin(), fixture.link_.sent_.end(), [](const auto& aSent) { return !aSent.ended_; });
+  EXPECT_GE(inFlight, 2);
+}
+
+/// Replays the first seconds after a restart of all instances, when more requests come than targets take. Guards
+/// against a queue in order of arrival, which serves only requests that are late already.
+TEST(Router, ServesRequestsInTimeBeforeLateOnes)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::NonIdempotent) }, 1, 1);
+  fixture.SetTargets({ "pool" }, 1);
+  fixture.Submit("/relay/running");
+  fixture.Submit("/relay/late");
+  fixture.timers_.Advance(Millis(200));
+  fixture.Submit("/relay/fresh");
+  fixture.link_.End(0, Success("x"));
+  ASSERT_EQ(fixture.link_.sent_.size(), 2U);
+  EXPECT_EQ(fixture.link_.sent_[1].call_.request_->target_, "/relay/fresh");
+  fixture.link_.End(1, Success("x"));
+  ASSERT_EQ(fixture.link_.sent_.size(), 3U);
+  EXPECT_EQ(fixture.link_.sent_[2].call_.request_->target_, "/relay/late");
+}
+
 /// What a request gets that no run can begin for.
 struct RefusalCase
 {
