Wait for room after a failed attempt, and log each failed attempt

Change: a retry waits for room like a first attempt. Each failed attempt is logged with its target, verdict, reason, time, and what was known of the target; ended requests name up to four pools without a reply. Ruled out: a lack of tokens (an attempt that did not reach its target costs none). Test: Router.WaitsForRoomAfterAFailedAttempt, 27 Router tests pass.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -32,6 +32,10 @@
                                                         .Name("ibisrock_refused_total")
                                                         .Help("Requests refused before a target was asked, by reason")
                                                         .Register(registry_);
+  prometheus::Family<prometheus::Counter>& failedAttempts_ = prometheus::BuildCounter()
+                                                               .Name("ibisrock_failed_attempts_total")
+                                                               .Help("Attempts without a usable reply, by reason")
+                                                               .Register(registry_);
   prometheus::Counter& callersLeft_ = AddCounter("ibisrock_callers_left_total", "Callers that left before the answer");
   prometheus::Counter& attempts_ = AddCounter("ibisrock_attempts_total", "Attempts at targets");
   prometheus::Counter& extraAttempts_ =
@@ -86,6 +90,12 @@
   (aRoute.gather_ ? impl_->gathered_ : impl_->relayed_).Observe(InSeconds(aTook));
 }
 
+void
+EntryMetrics::OnAttemptFailed(const FailedAttempt& aAttempt)
+{
+  impl_->failedAttempts_.Add({ { "reason", std::string(ToString(aAttempt.reason_)) } }).Increment();
+}
+
 void
 EntryMetrics::OnCallerLeft(const CallerRequest&, const Route&, Micros)
 {
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -1,5 +1,7 @@
 #include "entry/request_log.h"
 
+#include <algorithm>
+
 namespace ibisrock::entry {
 
 namespace {
@@ -12,10 +14,11 @@
   kPartial,
   kFailed,
   kCallerLeft,
+  kAttemptFailed,
   kKinds,
 };
 
-/// Lines of each kind in 10 s: at most 40 lines a second from one instance, about 8 KB.
+/// Lines of each kind in 10 s: at most 48 lines a second from one instance, about 10 KB.
 constexpr unsigned kLinesPerPeriod = 80;
 
 std::string
@@ -24,6 +27,18 @@
   return std::to_string(aTime.count() / 1000) + "." + std::to_string(aTime.count() / 100 % 10) + "ms";
 }
 
+/// The first few names; a line must not grow with the number of shards.
+std::string
+JoinSome(const std::vector<PoolName>& aPools)
+{
+  constexpr size_t kMost = 4;
+  std::string text;
+  for (size_t i = 0; i < std::min(aPools.size(), kMost); i++) {
+    text += (i == 0 ? "" : ",") + aPools[i].Value();
+  }
+  return aPools.size() > kMost ? text + ",..." : text;
+}
+
 Kind
 KindOf(const RunEnd& aEnd)
 {
@@ -67,6 +82,9 @@
     }
     text += " shards=" + std::to_string(aEnd.shards_) + " missing=" + std::to_string(aEnd.reply_.missingShards_) +
             " attempts=" + std::to_string(aEnd.attempts_) + " extra=" + std::to_string(aEnd.extraAttempts_);
+    if (!aEnd.missing_.empty()) {
+      text += " missing_pools=" + JoinSome(aEnd.missing_);
+    }
     if (aEnd.reply_.retryAfter_) {
       text += " retry_after=" + InMillis(*aEnd.reply_.retryAfter_);
     }
@@ -74,6 +92,18 @@
   });
 }
 
+void
+RequestLog::OnAttemptFailed(const FailedAttempt& aAttempt)
+{
+  log_.Write(LogLevel::Info, kAttemptFailed, [&] {
+    return "event=attempt_failed request=" + aAttempt.request_.id_ + " pool=" + aAttempt.pool_.Value() +
+           " target=" + aAttempt.target_.Value() + " verdict=" + std::string(ToString(aAttempt.verdict_)) +
+           " reason=" + std::string(ToString(aAttempt.reason_)) + " status=" + std::to_string(aAttempt.status_) +
+           " took=" + InMillis(aAttempt.took_) + " in_flight=" + std::to_string(aAttempt.inFlight_) +
+           " slowness=" + std::to_string(aAttempt.slowness_) + " extra=" + (aAttempt.isExtra_ ? "yes" : "no");
+  });
+}
+
 void
 RequestLog::OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aTook)
 {
--- a/src/entry/router_logs.h
+++ b/src/entry/router_logs.h
@@ -35,6 +35,13 @@
     }
   }
 
+  void OnAttemptFailed(const FailedAttempt& aAttempt) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnAttemptFailed(aAttempt);
+    }
+  }
+
   void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aTook) override
   {
     for (RouterLog* log : logs_) {
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -25,7 +25,8 @@
             Random& aRandom,
             TargetLink& aLink,
             TargetDirectory& aTargets,
-            std::unordered_map<PoolName, PoolState>& aPools)
+            std::unordered_map<PoolName, PoolState>& aPools,
+            AttemptLog* aLog)
 {
   return { aTimers,
            aRandom,
@@ -35,6 +36,7 @@
            aPools,
            kExtraReserve * aSettings.limits_.extraShare_,
            kSlackReserve * aSettings.limits_.extraSlack_,
+           aLog,
            {} };
 }
 
@@ -46,7 +48,7 @@
   , log_(aLog)
   , link_(aLink)
   , targets_(aTimers, [&aLink](const TargetName& aName) { aLink.Forget(aName); })
-  , context_(MakeContext(settings_, aTimers, aRandom, aLink, targets_, pools_))
+  , context_(MakeContext(settings_, aTimers, aRandom, aLink, targets_, pools_, aLog))
 {
 }
 
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "base/target_link.h"
 #include "base/timer_service.h"
+#include "process/attempt_log.h"
 #include "process/pool_state.h"
 #include "process/reply_lag.h"
 #include "process/route_state.h"
@@ -23,6 +24,8 @@
   /// Share of the requests to a pool that may be sent once more, and the tokens that may be saved up.
   double extraShare_ = 0;
   double maxExtraTokens_ = 0;
+  /// May be null.
+  AttemptLog* log_ = nullptr;
   ReplyLag replyLag_{};
 
   PoolState& Pool(const PoolName& aName)
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -88,7 +88,7 @@
 {
   RoutingContext& context = scope_.context_;
   const TimePoint now = context.timers_.Now();
-  if (now >= scope_.deadline_) {
+  if (HasExpired()) {
     return false;
   }
   TargetPtr target = Choose().target_;
@@ -171,7 +171,21 @@
   if (IsFinal(aOutcome)) {
     aAttempt.target_->OnReply(aAttempt.id_, now, took, aAttempt.expected_);
     scope_.state_.ObserveCall(now, took);
-  } else if (aOutcome.reason_ == Reason::ConnectFailed) {
+    return;
+  }
+  if (scope_.context_.log_ != nullptr) {
+    scope_.context_.log_->OnAttemptFailed({ *scope_.request_,
+                                            pool_,
+                                            aAttempt.target_->Record().name_,
+                                            aOutcome.verdict_,
+                                            aOutcome.reason_,
+                                            aOutcome.status_,
+                                            took,
+                                            aAttempt.target_->InFlight(),
+                                            aAttempt.target_->Slowness(now),
+                                            aAttempt.extra_ });
+  }
+  if (aOutcome.reason_ == Reason::ConnectFailed) {
     aAttempt.target_->OnUnreachable(aAttempt.id_, now);
     if (aAttempt.extra_) {
       scope_.context_.Pool(pool_).extra_.GiveBack();
@@ -187,24 +201,35 @@
 {
   const bool mayRetry =
     tried_.size() < scope_.route_.maxTargets_ && (MayRepeat() || CombinedVerdict() == Verdict::NotRun);
-  if (mayRetry) {
-    ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
-    // An attempt that did not reach its target is no arrival there, so its successor costs nothing.
-    const bool free = lastReason_ == Reason::ConnectFailed;
-    if (free || budget.TryTake()) {
-      if (TrySend(!free)) {
-        return;
-      }
-      if (!free) {
-        budget.GiveBack();
-      }
-    }
-  }
-  if (attempts_.empty()) {
+  if (!(mayRetry && Retry()) && attempts_.empty()) {
     GiveUp();
   }
 }
 
+/// Sends another attempt, or waits until another target has room. Returns false when there is no such target or no
+/// token.
+bool
+PoolCall::Retry()
+{
+  ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
+  // An attempt that did not reach its target is no arrival there, so its successor costs nothing.
+  const bool free = lastReason_ == Reason::ConnectFailed;
+  if (!free && !budget.TryTake()) {
+    return false;
+  }
+  if (TrySend(!free)) {
+    return true;
+  }
+  if (attempts_.empty() && Choose().hasFullTarget_ && !HasExpired()) {
+    WaitForRoom();
+    return true;
+  }
+  if (!free) {
+    budget.GiveBack();
+  }
+  return false;
+}
+
 void
 PoolCall::GiveUp()
 {
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -60,6 +60,7 @@
   /// What is known of whether any attempt ran.
   Verdict CombinedVerdict() const;
   Reason LastReason() const { return lastReason_; }
+  const PoolName& Pool() const { return pool_; }
   size_t AttemptCount() const { return tried_.size(); }
 
 private:
@@ -80,7 +81,9 @@
   bool TryAgain();
   void OnOutcome(CallId aId, TargetOutcome aOutcome);
   void Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome);
+  bool HasExpired() const { return scope_.context_.timers_.Now() >= scope_.deadline_; }
   void OnFailedAttempt();
+  bool Retry();
   void GiveUp();
 
   const RunScope& scope_;
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -87,6 +87,9 @@
   RunEnd end{ std::move(aReply), aVerdict, aReason };
   end.shards_ = Calls().size();
   for (const auto& call : Calls()) {
+    if (call->CurrentState() != PoolCall::State::Replied) {
+      end.missing_.push_back(call->Pool());
+    }
     call->Stop(Abandon::LetFinish);
     end.attempts_ += call->AttemptCount();
     end.extraAttempts_ += call->AttemptCount() > 1 ? call->AttemptCount() - 1 : 0;
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -19,6 +19,8 @@
   size_t attempts_ = 0;
   size_t extraAttempts_ = 0;
   size_t shards_ = 1;
+  /// Pools without a reply.
+  std::vector<PoolName> missing_{};
 };
 
 /// One request of a caller on its way through a route. Ends once, with a reply or because the caller has left.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -223,6 +223,26 @@
   EXPECT_EQ(fixture.link_.Targets().back(), "shard-1/0");
 }
 
+/// Replays dark targets while the others are busy. Guards against a request that is given up although another target
+/// would have room in time.
+TEST(Router, WaitsForRoomAfterAFailedAttempt)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::NonIdempotent) }, 1, 1);
+  fixture.SetTargets({ "pool" }, 2);
+  fixture.Submit("/relay/first");
+  fixture.Submit("/relay/second");
+  ASSERT_EQ(fixture.link_.sent_.size(), 2U);
+  fixture.link_.End(0, Failure(Verdict::NotRun, Reason::ConnectFailed));
+  EXPECT_TRUE(fixture.replies_.empty());
+  fixture.link_.End(1, Success("x"));
+  ASSERT_EQ(fixture.link_.sent_.size(), 3U);
+  EXPECT_EQ(fixture.link_.sent_[2].call_.request_->target_, "/relay/first");
+  fixture.link_.End(2, Success("x"));
+  ASSERT_EQ(fixture.replies_.size(), 2U);
+  EXPECT_EQ(fixture.replies_[1].status_, 200U);
+}
+
 /// Replays a target whose queue is full and that resets connections. Guards against a storm in which each reset brings
 /// the next connection.
 TEST(Router, SendsLessToATargetThatLosesCalls)
