--- a/src/adapters/header_names.h
+++ b/src/adapters/header_names.h
@@ -22,7 +22,7 @@
   /// A target's proof that a reply is its own.
   std::string stamp_ = "Ibisrock-Stamp";
   /// Stamps of the parts of a gathered answer.
-  std::string partStamps_ = "Ibisrock-Part-Stamps";
+  std::string partStamps_ = "Ibisrock-Stamps";
   /// Number of shards that a gathered answer leaves out.
   std::string missingShards_ = "Ibisrock-Missing-Shards";
 };
