Keep a gather's members out of what follows its end

Cause: the address sanitizer found that OnCutoff reads the run after it has ended; in the test the reply's receiver moves the clock, and the run is destroyed meanwhile. With the event loop this order does not occur. Change: what is needed later is taken before the end.

--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -80,13 +80,14 @@
 GatherRun::OnCutoff()
 {
   const bool ends = HasEnough(covered_);
+  RoutingContext& context = scope_.context_;
+  const TimePoint cutoff = timing_.cutoff_;
+  // The run may be gone after this.
   EndIfDecided();
   if (ends) {
     // Measured when the loop is free again, because the kernel may send the answer only then.
-    RoutingContext& context = scope_.context_;
-    context.timers_.After(Micros::zero(), [&context, cutoff = timing_.cutoff_] {
-      context.replyLag_.Observe(context.timers_.Now() - cutoff);
-    });
+    context.timers_.After(Micros::zero(),
+                          [&context, cutoff] { context.replyLag_.Observe(context.timers_.Now() - cutoff); });
   }
 }
 
