--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -25,10 +25,13 @@
 
 # Disturbs one instance. Clients go on using its open connections until it is gone.
 disturb() { # instance, fault
+  # The times are those of the log lines of the instances, so that a late answer can be traced to a pause.
+  echo "t=$(cut -d' ' -f1 /proc/uptime) instance=$1 fault=$2" >>"$dir/signals.log"
   case $2 in
     0) kill -KILL "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1" ;;
     1) kill -TERM "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1" ;;
-    2) kill -STOP "${pids[$1]}"; sleep 0.$((RANDOM % 9 + 1)); kill -CONT "${pids[$1]}" ;;
+    2) kill -STOP "${pids[$1]}"; sleep 0.$((RANDOM % 9 + 1)); kill -CONT "${pids[$1]}"
+      echo "t=$(cut -d' ' -f1 /proc/uptime) instance=$1 resumed" >>"$dir/signals.log" ;;
     3) echo "caller-delay = $((RANDOM % 5 + 1))ms" >>"$dir/$1.conf"; kill -HUP "${pids[$1]}" ;;
   esac
 }
