Leave the time of a pause out of the soak's time to answer

Change: the callers read the log of signals and add the time in which the instance was stopped, no more; anything else that is late fails as before, with the same 0.5 s. Ruled out: a longer wait for all requests, which would hide an instance that hangs.

--- /dev/null
+++ b/tests/load_test.cpp
@@ -0,0 +1,98 @@
+#include "adapters/loop_timer_service.h"
+#include "platform/emulator/load.h"
+#include "platform/emulator/pause_log.h"
+
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace ibisrock::platform {
+namespace {
+
+struct PauseCase
+{
+  const char* name_;
+  const char* lines_;
+  size_t instance_;
+  Millis begin_;
+  Millis end_;
+  Millis paused_;
+};
+
+class PausesOfAnInstance : public testing::TestWithParam<PauseCase>
+{};
+
+/// Guards against a soak that lets late answers pass outside the time in which their instance was stopped.
+TEST_P(PausesOfAnInstance, CountOnlyWithinTheTimeAsked)
+{
+  const PauseCase& test = GetParam();
+  std::istringstream lines(test.lines_);
+  EXPECT_EQ(PausedBetween(ReadPauses(lines), test.instance_, test.begin_, test.end_), test.paused_);
+}
+
+constexpr const char* kTwoPauses = "t=5.50 instance=1 fault=2\nt=6.00 instance=1 resumed\n"
+                                   "t=6.10 instance=1 fault=2\nt=6.30 instance=1 resumed\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Soak,
+  PausesOfAnInstance,
+  testing::Values(PauseCase{ "None", "", 1, Millis(0), Millis(9000), Millis(0) },
+                  PauseCase{ "TwoInARow", kTwoPauses, 1, Millis(5000), Millis(7000), Millis(700) },
+                  PauseCase{ "PartOfTheFirst", kTwoPauses, 1, Millis(5900), Millis(6050), Millis(100) },
+                  PauseCase{ "BeforeTheRequest", kTwoPauses, 1, Millis(6400), Millis(7000), Millis(0) },
+                  PauseCase{ "OfAnotherInstance", kTwoPauses, 2, Millis(5000), Millis(7000), Millis(0) },
+                  PauseCase{ "StillStopped", "t=5.5 instance=1 fault=2\n", 1, Millis(5000), Millis(6000), Millis(500) },
+                  PauseCase{ "OtherSignals",
+                             "t=5.5 instance=1 fault=0\nt=5.7 instance=1 fault=3\nnot a line\n",
+                             1,
+                             Millis(5000),
+                             Millis(6000),
+                             Millis(0) }),
+  [](const auto& aCase) { return aCase.param.name_; });
+
+struct SilentCase
+{
+  const char* name_;
+  /// Whether the log shows the instance as stopped all the time.
+  bool isPaused_;
+  size_t violations_;
+};
+
+class SilentInstance : public testing::TestWithParam<SilentCase>
+{};
+
+/// Guards against callers of the soak that excuse a silent instance which was not stopped.
+TEST_P(SilentInstance, IsAViolationUnlessItIsStopped)
+{
+  boost::asio::io_context loop{ 1 };
+  boost::asio::ip::tcp::acceptor listener(loop, { boost::asio::ip::address_v4::loopback(), 0 });
+  ManualTimerService timers;
+  Random random(1);
+  Load::Settings settings;
+  LastReason reason;
+  settings.instances_ = { *adapters::ParseSocketAddress("127.0.0.1:" + std::to_string(listener.local_endpoint().port()),
+                                                        reason) };
+  settings.perSecond_ = 1;
+  settings.pausedWithinLast_ = [](size_t /*aInstance*/, Micros aLast) {
+    return GetParam().isPaused_ ? aLast : Micros::zero();
+  };
+  Load load(loop, timers, random, settings);
+  load.Start();
+  while (load.Report().sent_ == 0) {
+    timers.RunNext();
+  }
+  load.Stop();
+  boost::asio::ip::tcp::socket accepted = listener.accept();
+  while (accepted.available() == 0) {
+    loop.poll();
+  }
+  timers.Advance(Seconds(3));
+  EXPECT_EQ(load.Report().violations_.size(), GetParam().violations_);
+}
+
+INSTANTIATE_TEST_SUITE_P(Soak,
+                         SilentInstance,
+                         testing::Values(SilentCase{ "Running", false, 1 }, SilentCase{ "Stopped", true, 0 }),
+                         [](const auto& aCase) { return aCase.param.name_; });
+
+} // namespace
+} // namespace ibisrock::platform
