Refuse at once what cannot be served in time

Cause: a request that met full targets waited for room until its time had passed, also when the queue ahead was longer than its time. The caller learned only then that nothing was done, and the queue of late calls was served behind all others. Change: before a run starts, and when it is late and still waits, the reply is estimated from the calls ahead, the allowances of the targets and the times of their replies; a target that has been silent for longer than the call has left is not counted on. If too few pools can reply in time the request ends with 503 (nothing ran) and a Retry-After at which the queue has room; callers refused in a row get times one call apart. The log line hopeless_wait holds the inputs. Ruled out: slowness by calls in flight as the rate of a target (refused requests in a pause of 200 ms); an empty queue as the end of an overload (the queue is short while late calls are refused, so that requests were held up to 487 ms again).

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -37,6 +37,8 @@
                                                                .Help("Attempts without a usable reply, by reason")
                                                                .Register(registry_);
   prometheus::Counter& callersLeft_ = AddCounter("ibisrock_callers_left_total", "Callers that left before the answer");
+  prometheus::Counter& hopelessWaits_ =
+    AddCounter("ibisrock_hopeless_waits_total", "Requests ended because they would not find room in time");
   prometheus::Counter& attempts_ = AddCounter("ibisrock_attempts_total", "Attempts at targets");
   prometheus::Counter& extraAttempts_ =
     AddCounter("ibisrock_extra_attempts_total", "Attempts beyond the first of a request or shard");
@@ -90,6 +92,12 @@
   (aRoute.gather_ ? impl_->gathered_ : impl_->relayed_).Observe(InSeconds(aTook));
 }
 
+void
+EntryMetrics::OnHopelessWait(const HopelessWait&)
+{
+  impl_->hopelessWaits_.Increment();
+}
+
 void
 EntryMetrics::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -15,10 +15,11 @@
   kFailed,
   kCallerLeft,
   kAttemptFailed,
+  kHopelessWait,
   kKinds,
 };
 
-/// Lines of each kind in 10 s: at most 48 lines a second from one instance, about 10 KB.
+/// Lines of each kind in 10 s: at most 56 lines a second from one instance, about 12 KB.
 constexpr unsigned kLinesPerPeriod = 80;
 
 std::string
@@ -92,6 +93,18 @@
   });
 }
 
+void
+RequestLog::OnHopelessWait(const HopelessWait& aWait)
+{
+  log_.Write(LogLevel::Warning, kHopelessWait, [&] {
+    return "event=hopeless_wait request=" + aWait.request_.id_ + " pool=" + aWait.pool_.Value() +
+           " waiting=" + std::to_string(aWait.waiting_) +
+           " expected=" + (aWait.expected_ ? InMillis(*aWait.expected_) : "never") + " left=" + InMillis(aWait.left_) +
+           " pools_in_time=" + std::to_string(aWait.poolsInTime_) +
+           " pools_needed=" + std::to_string(aWait.poolsNeeded_);
+  });
+}
+
 void
 RequestLog::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
--- a/src/entry/router_logs.h
+++ b/src/entry/router_logs.h
@@ -35,6 +35,13 @@
     }
   }
 
+  void OnHopelessWait(const HopelessWait& aWait) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnHopelessWait(aWait);
+    }
+  }
+
   void OnAttemptFailed(const FailedAttempt& aAttempt) override
   {
     for (RouterLog* log : logs_) {
--- a/src/process/route_state.cpp
+++ b/src/process/route_state.cpp
@@ -1,11 +1,15 @@
 #include "process/route_state.h"
 
+#include <algorithm>
+
 namespace ibisrock {
 
 namespace {
 
 /// Weight of one call in the mean; a route has tens of calls a second.
 constexpr double kMeanWeight = 0.05;
+/// Callers that are refused in a row are spread over at most this time, because not all of them come back.
+constexpr Micros kLongestSpread = Seconds(1);
 
 } // namespace
 
@@ -32,6 +36,14 @@
   return best->pool_;
 }
 
+Micros
+RouteState::ReturnTime(TimePoint aNow, Micros aShortage, Micros aInterval)
+{
+  const TimePoint earliest = aNow + aShortage;
+  lastReturn_ = std::clamp(lastReturn_ + aInterval, earliest, earliest + kLongestSpread);
+  return lastReturn_ - aNow;
+}
+
 void
 RouteState::ObserveCall(TimePoint aNow, Micros aTook)
 {
--- a/src/process/route_state.h
+++ b/src/process/route_state.h
@@ -24,12 +24,16 @@
   void ObserveCall(TimePoint aNow, Micros aTook);
   /// Usual time of a call, aFallback while it is not known.
   Micros UsualTime(Micros aFallback) const { return mean_ == Micros::zero() ? aFallback : mean_; }
+  /// Time after which a refused caller finds room, if it is short of aShortage now. Callers that are refused in a row
+  /// get times aInterval apart, so that they do not come back together.
+  Micros ReturnTime(TimePoint aNow, Micros aShortage, Micros aInterval);
   Micros HedgeDelay(TimePoint aNow, Micros aFallback) { return times_.HedgeDelay(aNow, aFallback); }
 
 private:
   LatencyTracker times_{ kHedgeQuantile };
   Micros mean_{};
   std::unordered_map<PoolName, double> shares_;
+  TimePoint lastReturn_{};
 };
 
 } // namespace ibisrock
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -119,13 +119,31 @@
 double
 Target::Slowness(TimePoint aNow) const
 {
-  double slowness = 1 + (slowness_ - 1) * Remaining(aNow - slownessAt_);
+  double slowness = SlownessOfReplies(aNow);
   for (const InFlightCall& call : inFlight_) {
     if (!call.abandoned_) {
-      slowness = std::max(slowness, Ratio(aNow - call.sentAt_, call.expected_));
+      slowness = std::max(slowness, Ratio(aNow - call.sentAt_, call.expected_) * WarmUpFactor(aNow));
     }
   }
-  return slowness * WarmUpFactor(aNow);
+  return slowness;
+}
+
+double
+Target::SlownessOfReplies(TimePoint aNow) const
+{
+  return (1 + (slowness_ - 1) * Remaining(aNow - slownessAt_)) * WarmUpFactor(aNow);
+}
+
+Micros
+Target::LongestWait(TimePoint aNow) const
+{
+  Micros longest{};
+  for (const InFlightCall& call : inFlight_) {
+    if (!call.abandoned_) {
+      longest = std::max(longest, aNow - call.sentAt_);
+    }
+  }
+  return longest;
 }
 
 double
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -47,6 +47,8 @@
   /// what it is given, replies raise it again.
   bool HasRoom() const { return inFlight_.size() < static_cast<size_t>(allowed_); }
   size_t InFlight() const { return inFlight_.size(); }
+  /// Calls that it may have in flight now.
+  double Allowance() const { return allowed_; }
 
   /// Whether recent failures to connect keep new work away. After each pause one call may try again.
   bool IsAvoided(TimePoint aNow) const { return aNow < avoidedUntil_; }
@@ -65,6 +67,10 @@
 
   /// Recent time of calls over their usual time, including the calls that still wait; 1 is usual.
   double Slowness(TimePoint aNow) const;
+  /// The same from replies alone.
+  double SlownessOfReplies(TimePoint aNow) const;
+  /// How long the oldest call that is still wanted has been in flight; zero without calls.
+  Micros LongestWait(TimePoint aNow) const;
   /// Recent share of calls without a usable reply.
   double FailureShare(TimePoint aNow) const;
 
--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -3,6 +3,9 @@
 #include "request/error_reply.h"
 #include "request/record_merge.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace ibisrock {
 
 namespace {
@@ -25,6 +28,9 @@
 void
 GatherRun::Start()
 {
+  if (RefuseIfHopeless()) {
+    return;
+  }
   for (const auto& call : calls_) {
     if (call->Start() != PoolCall::State::GivenUp) {
       pending_++;
@@ -45,11 +51,17 @@
   EndIfDecided();
 }
 
+size_t
+GatherRun::NeededCalls() const
+{
+  const double share = scope_.route_.gather_->minCoverage_ * static_cast<double>(calls_.size());
+  return std::max<size_t>(static_cast<size_t>(std::ceil(share - kRounding)), 1);
+}
+
 bool
 GatherRun::HasEnough(size_t aShards) const
 {
-  return aShards > 0 && static_cast<double>(aShards) + kRounding >=
-                          scope_.route_.gather_->minCoverage_ * static_cast<double>(calls_.size());
+  return aShards >= NeededCalls();
 }
 
 /// Ends the run when all shards are settled, when too many are lost, or when the objective has passed with enough.
@@ -79,16 +91,17 @@
 void
 GatherRun::OnCutoff()
 {
-  const bool ends = HasEnough(covered_);
+  if (!HasEnough(covered_)) {
+    EndLateIfHopeless();
+    return;
+  }
   RoutingContext& context = scope_.context_;
   const TimePoint cutoff = timing_.cutoff_;
   // The run may be gone after this.
   EndIfDecided();
-  if (ends) {
-    // Measured when the loop is free again, because the kernel may send the answer only then.
-    context.timers_.After(Micros::zero(),
-                          [&context, cutoff] { context.replyLag_.Observe(context.timers_.Now() - cutoff); });
-  }
+  // Measured when the loop is free again, because the kernel may send the answer only then.
+  context.timers_.After(Micros::zero(),
+                        [&context, cutoff] { context.replyLag_.Observe(context.timers_.Now() - cutoff); });
 }
 
 void
@@ -126,14 +139,4 @@
   Finish(MakeFailureReply(verdict, aReason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, aReason);
 }
 
-Verdict
-GatherRun::CombinedVerdict() const
-{
-  Verdict verdict = Verdict::NotRun;
-  for (const auto& call : calls_) {
-    verdict = Combine(verdict, call->CombinedVerdict());
-  }
-  return verdict;
-}
-
 } // namespace ibisrock
--- a/src/request/gather_run.h
+++ b/src/request/gather_run.h
@@ -20,11 +20,11 @@
   void OnDeadline() override;
   std::vector<std::unique_ptr<PoolCall>>& Calls() override { return calls_; }
 
+  size_t NeededCalls() const override;
   bool HasEnough(size_t aShards) const;
   void EndIfDecided();
   void EndWithParts();
   void EndWithFailure(Reason aReason);
-  Verdict CombinedVerdict() const;
 
   std::vector<std::unique_ptr<PoolCall>> calls_;
   size_t covered_ = 0;
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -68,6 +68,7 @@
     if (Choose().hasFullTarget_) {
       WaitForRoom();
     } else {
+      state_ = State::GivenUp;
       lastReason_ = Reason::NoReplica;
     }
   }
@@ -98,7 +99,7 @@
   const TargetCall call{ target->Record().name_, target->Record().address_, scope_.request_, scope_.deadline_ - now };
   auto id = std::make_shared<CallId>();
   *id = context.link_.Send(call, [this, id](TargetOutcome aOutcome) { OnOutcome(*id, std::move(aOutcome)); });
-  const Micros expected = scope_.state_.UsualTime(Scale(scope_.route_.objective_, kFirstUsualTimeShare));
+  const Micros expected = UsualTime();
   target->OnSent(*id, now, expected);
   tried_.push_back(target->Record().name_);
   attempts_.push_back({ *id, std::move(target), now, expected, aExtra });
@@ -110,8 +111,43 @@
 PoolCall::WaitForRoom()
 {
   state_ = State::Waiting;
-  waiting_ = scope_.context_.Pool(pool_).waiting_.Add(
-    scope_.route_.priority_, scope_.objectiveEnds_, [this] { return TryAgain(); });
+  RoutingContext& context = scope_.context_;
+  waiting_ = context.Pool(pool_).waiting_.Add(
+    context.timers_.Now(), scope_.route_.priority_, scope_.objectiveEnds_, [this] { return TryAgain(); });
+}
+
+void
+PoolCall::CountRefusal()
+{
+  RoutingContext& context = scope_.context_;
+  context.Pool(pool_).waiting_.CountArrival(context.timers_.Now());
+}
+
+Micros
+PoolCall::UsualTime() const
+{
+  return scope_.state_.UsualTime(Scale(scope_.route_.objective_, kFirstUsualTimeShare));
+}
+
+WaitEstimate
+PoolCall::ExpectedReply() const
+{
+  if (state_ == State::GivenUp) {
+    return {};
+  }
+  if (state_ == State::InFlight || state_ == State::Replied) {
+    return { Micros::zero(), {} };
+  }
+  RoutingContext& context = scope_.context_;
+  const RoomQueue& queue = context.Pool(pool_).waiting_;
+  // Most of the time nothing waits, and a request to many shards should pay nothing for that.
+  if (queue.Size() == 0) {
+    return { UsualTime(), {} };
+  }
+  return EstimateWait(queue,
+                      context.targets_.TargetsOf(pool_),
+                      { waiting_, scope_.route_.priority_, scope_.objectiveEnds_, scope_.deadline_, UsualTime() },
+                      context.timers_.Now());
 }
 
 bool
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -2,6 +2,7 @@
 #define IBISROCK_REQUEST_POOL_CALL_H
 
 #include "process/routing_context.h"
+#include "process/wait_estimate.h"
 #include "request/run_observer.h"
 #include "version/route_table.h"
 
@@ -31,6 +32,7 @@
 public:
   enum class State : uint8_t
   {
+    NotStarted,
     /// No target has room.
     Waiting,
     InFlight,
@@ -53,6 +55,13 @@
   /// Ends all attempts.
   void Stop(Abandon aHow);
 
+  /// When a reply is expected: by the queue for a call that waits for room or would have to, and at once for one that
+  /// is in flight or has replied, since the queue says nothing about those.
+  WaitEstimate ExpectedReply() const;
+
+  /// Counts a call that is not started because its run was refused as one that would have waited.
+  void CountRefusal();
+
   State CurrentState() const { return state_; }
   bool IsPending() const { return state_ == State::Waiting || state_ == State::InFlight; }
   /// The reply, when there is one; after GivenUp the last failure with a reply that may be passed on.
@@ -79,6 +88,7 @@
   bool TrySend(bool aExtra);
   void WaitForRoom();
   bool TryAgain();
+  Micros UsualTime() const;
   void OnOutcome(CallId aId, TargetOutcome aOutcome);
   void Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome);
   bool HasExpired() const { return scope_.context_.timers_.Now() >= scope_.deadline_; }
@@ -90,7 +100,7 @@
   const PoolName pool_;
   const size_t index_;
   PoolCallObserver& observer_;
-  State state_ = State::GivenUp;
+  State state_ = State::NotStarted;
   std::vector<Attempt> attempts_;
   std::vector<TargetName> tried_;
   std::optional<RoomQueue::Position> waiting_;
--- a/src/request/relay_run.cpp
+++ b/src/request/relay_run.cpp
@@ -14,6 +14,9 @@
 void
 RelayRun::Start()
 {
+  if (RefuseIfHopeless()) {
+    return;
+  }
   if (Call().Start() == PoolCall::State::GivenUp) {
     EndWithCall();
     return;
@@ -32,7 +35,7 @@
 RelayRun::EndWithCall()
 {
   if (!Call().Reply()) {
-    const Verdict verdict = Call().CombinedVerdict();
+    const Verdict verdict = CombinedVerdict();
     const Reason reason = Call().LastReason();
     Finish(MakeFailureReply(verdict, reason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, reason);
     return;
@@ -54,7 +57,7 @@
 void
 RelayRun::OnDeadline()
 {
-  const Verdict verdict = Call().CombinedVerdict();
+  const Verdict verdict = CombinedVerdict();
   Finish(MakeFailureReply(verdict, Reason::TimedOut, true, kRetryAfterNoTarget), verdict, Reason::TimedOut);
 }
 
--- a/src/request/relay_run.h
+++ b/src/request/relay_run.h
@@ -16,7 +16,8 @@
 private:
   void OnPoolCallEnded(size_t aIndex) override;
   void OnHedgeTime() override;
-  void OnCutoff() override {}
+  void OnCutoff() override { EndLateIfHopeless(); }
+  size_t NeededCalls() const override { return 1; }
   void OnDeadline() override;
   std::vector<std::unique_ptr<PoolCall>>& Calls() override { return calls_; }
 
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -1,14 +1,31 @@
 #include "request/routed_run.h"
 
+#include "request/error_reply.h"
 #include "request/gather_run.h"
 #include "request/relay_run.h"
 
+#include <algorithm>
+
 namespace ibisrock {
 
 namespace {
 
 /// Hedge delay until enough calls were observed, as a share of the objective.
 constexpr double kFirstHedgeShare = 0.35;
+/// Longest wait that is told to callers, and the wait of a call that finds no room while as many calls arrive as the
+/// targets can end: the length of a usual overload. Estimates beyond it depend on the future load.
+constexpr Micros kLongestWait = Seconds(1);
+/// Between two looks at whether a late run that waits for room will find it.
+constexpr Micros kLateCheckInterval = Millis(100);
+
+/// A call that is not expected to be answered in time.
+struct LateCall
+{
+  const PoolCall* call_;
+  WaitEstimate estimate_;
+
+  Micros WaitToTell() const { return std::min<Micros>(estimate_.reply_.value_or(kLongestWait), kLongestWait); }
+};
 
 } // namespace
 
@@ -34,6 +51,77 @@
   CancelTimers();
 }
 
+bool
+RoutedRun::RefuseIfHopeless()
+{
+  const std::optional<Micros> returnTime = ReturnTimeIfHopeless();
+  if (returnTime) {
+    for (const auto& call : Calls()) {
+      call->CountRefusal();
+    }
+    Finish(
+      MakeFailureReply(Verdict::NotRun, Reason::Overloaded, false, *returnTime), Verdict::NotRun, Reason::Overloaded);
+  }
+  return returnTime.has_value();
+}
+
+std::optional<Micros>
+RoutedRun::ReturnTimeIfHopeless()
+{
+  const TimePoint now = scope_.context_.timers_.Now();
+  const Micros left = timing_.deadline_ - now;
+  std::vector<LateCall> late;
+  for (const auto& call : Calls()) {
+    const WaitEstimate estimate = call->ExpectedReply();
+    if (!estimate.IsWithin(left)) {
+      late.push_back({ call.get(), estimate });
+    }
+  }
+  const size_t inTime = Calls().size() - late.size();
+  const size_t needed = NeededCalls();
+  if (inTime >= needed) {
+    return std::nullopt;
+  }
+  const auto decisive = late.begin() + static_cast<std::ptrdiff_t>(needed - inTime - 1);
+  std::nth_element(late.begin(), decisive, late.end(), [](const LateCall& aLeft, const LateCall& aRight) {
+    return aLeft.WaitToTell() < aRight.WaitToTell();
+  });
+  if (AttemptLog* log = scope_.context_.log_) {
+    const PoolName& pool = decisive->call_->Pool();
+    const size_t waiting = scope_.context_.Pool(pool).waiting_.Size();
+    log->OnHopelessWait({ *scope_.request_, pool, waiting, decisive->estimate_.reply_, left, inTime, needed });
+  }
+  const Micros shortage = std::max(decisive->WaitToTell() - left, decisive->estimate_.interval_);
+  return scope_.state_.ReturnTime(now, shortage, decisive->estimate_.interval_);
+}
+
+void
+RoutedRun::EndLateIfHopeless()
+{
+  const bool waits = std::any_of(Calls().begin(), Calls().end(), [](const auto& aCall) {
+    return aCall->CurrentState() == PoolCall::State::Waiting;
+  });
+  if (!waits) {
+    return;
+  }
+  if (const std::optional<Micros> returnTime = ReturnTimeIfHopeless()) {
+    const Verdict verdict = CombinedVerdict();
+    Finish(MakeFailureReply(verdict, Reason::Overloaded, false, *returnTime), verdict, Reason::Overloaded);
+  } else {
+    Subscribe(scope_.context_.timers_.Now() + kLateCheckInterval, &RoutedRun::EndLateIfHopeless);
+  }
+}
+
+Verdict
+RoutedRun::CombinedVerdict()
+{
+  Verdict verdict = Verdict::NotRun;
+  for (const auto& call : Calls()) {
+    verdict = Combine(verdict, call->CombinedVerdict());
+  }
+  return verdict;
+}
+
 void
 RoutedRun::StartTimers()
 {
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -68,6 +68,18 @@
   virtual void OnDeadline() = 0;
   virtual std::vector<std::unique_ptr<PoolCall>>& Calls() = 0;
 
+  /// Number of calls that must be answered for a success.
+  virtual size_t NeededCalls() const = 0;
+
+  /// Ends the run with a refusal if too few calls are expected to be answered in time. Asked before anything is sent.
+  bool RefuseIfHopeless();
+  /// When to return, for a run whose calls cannot be answered in time; no value if enough of them can.
+  std::optional<Micros> ReturnTimeIfHopeless();
+  /// Ends a late run that waits for room now and not at its deadline if it will not find room. A late call goes behind
+  /// all that can still be in time.
+  void EndLateIfHopeless();
+  /// What is known of whether any attempt ran.
+  Verdict CombinedVerdict();
   void StartTimers();
   void Finish(CallerReply aReply, Verdict aVerdict, Reason aReason);
   bool HasPassed(TimePoint aTime) const { return scope_.context_.timers_.Now() >= aTime; }
