Pause between watches of targets by the time that they take to leave

Cause: on the grown deployments some entry of a target changes all the time, each watch ends at once, and the fixed pause of 1 s gave a call a second from each instance, although a target that leaves may take 5 s there and not 3 s. Change: the setting leave-time, filled in by the platform; the pause is a third of it, so 1 s stays where it is 3 s. Ruled out: a longer share, because the store's own delay and a repeated call need the rest. Test first: 12 s of leave time made 46 calls where 29 are allowed by the count; passes now.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -89,7 +89,7 @@
   return true;
 }
 
-constexpr std::array<Spec, 10> kSpecs{ {
+constexpr std::array<Spec, 11> kSpecs{ {
   { "instance", "", "name of this instance, unique among the live ones", ParseText, &EntrySettings::instance_ },
   { "data-centre", "", "data centre of this instance", ParseText, &EntrySettings::dataCentre_ },
   { "listen", "", "address for callers", ParseAddress, &EntrySettings::callerAddress_ },
@@ -114,6 +114,15 @@
     nullptr,
     0,
     10 },
+  { "leave-time",
+    "3s",
+    "time after which a target that was announced to leave must get no more requests",
+    ParseDuration,
+    nullptr,
+    &EntrySettings::leaveTime_,
+    nullptr,
+    0.5,
+    600 },
   { "extra-share",
     "0.2",
     "largest share of the requests to a pool that may be sent once more, over all instances",
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -200,6 +200,42 @@
   }
 }
 
+class LeaveTimeOfTargets : public testing::TestWithParam<Seconds>
+{};
+
+/// Guards against a call to the store for each change in a fleet in which some entry changes all the time, and against
+/// watches that are too rare for a target that leaves.
+TEST_P(LeaveTimeOfTargets, BoundsTheWatches)
+{
+  constexpr Seconds kDuration(20);
+  constexpr Millis kChangePeriod(20);
+  /// Lists, the watch of the configuration, the own entry, and a probe each second.
+  constexpr uint64_t kOtherCalls = 26;
+  boost::asio::io_context loop{ 1 };
+  ManualTimerService timers;
+  Random random(1);
+  tests::FakeTargetLink link;
+  NullLog log;
+  Router router({}, timers, random, link, nullptr);
+  LastReason reason;
+  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
+  ASSERT_TRUE(store) << reason.Text();
+  store->Put("config", "main", Configuration(1, json::object()));
+  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", GetParam() };
+  Discovery discovery(loop, timers, settings, router, log, [] {});
+  discovery.Start();
+  for (Micros passed{}; passed < kDuration; passed += kChangePeriod) {
+    store->Put("servers", "t1", TargetEntry({ { "seqNo", passed.count() } })["spec"]);
+    timers.Advance(kChangePeriod);
+    loop.run_for(std::chrono::milliseconds(1));
+  }
+  const auto watches = static_cast<uint64_t>(kDuration / GetParam());
+  EXPECT_LE(discovery.StoreCalls(), kOtherCalls + 3 * watches);
+  EXPECT_GE(discovery.StoreCalls(), 2 * watches);
+}
+
+INSTANTIATE_TEST_SUITE_P(Discovery, LeaveTimeOfTargets, testing::Values(Seconds(3), Seconds(6), Seconds(12)));
+
 struct SettingCase
 {
   const char* name_;
@@ -246,6 +282,7 @@
                                          SettingCase{ "DelayNegative", "caller-delay = -3ms", "caller-delay" },
                                          SettingCase{ "ShareAboveOne", "extra-share = 1.5", "from 0 to 1" },
                                          SettingCase{ "ShareNotANumber", "extra-share = 0.2x", "extra-share" },
+                                         SettingCase{ "LeaveTimeTooShort", "leave-time = 100ms", "from 0.5 s" },
                                          SettingCase{ "SlackIsNan", "extra-slack = nan", "extra-slack" },
                                          SettingCase{ "NoEquals", "stop-time 6s", "not of the form" }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
