Pause between watches of the configuration by the time that it may take

Change: the setting apply-time, filled in by the platform; the pause is a sixth of it, 0.5 s at 3 s. Test: streams of changes of both kinds, at two times each.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -89,7 +89,7 @@
   return true;
 }
 
-constexpr std::array<Spec, 11> kSpecs{ {
+constexpr std::array<Spec, 12> kSpecs{ {
   { "instance", "", "name of this instance, unique among the live ones", ParseText, &EntrySettings::instance_ },
   { "data-centre", "", "data centre of this instance", ParseText, &EntrySettings::dataCentre_ },
   { "listen", "", "address for callers", ParseAddress, &EntrySettings::callerAddress_ },
@@ -114,6 +114,15 @@
     nullptr,
     0,
     10 },
+  { "apply-time",
+    "3s",
+    "time after which an accepted configuration must be in force",
+    ParseDuration,
+    nullptr,
+    &EntrySettings::applyTime_,
+    nullptr,
+    0.5,
+    600 },
   { "leave-time",
     "3s",
     "time after which a target that was announced to leave must get no more requests",
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -21,6 +21,8 @@
   /// Time from the request to stop until the process is killed.
   Micros stopTime_{};
   Micros callerDelay_{};
+  /// Time in which an accepted configuration must be in force.
+  Micros applyTime_{};
   /// Time in which a target that leaves must get no more requests.
   Micros leaveTime_{};
   double extraShare_ = 0;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -200,17 +200,28 @@
   }
 }
 
-class LeaveTimeOfTargets : public testing::TestWithParam<Seconds>
+struct WatchCase
+{
+  const char* name_;
+  const char* changingKind_;
+  Seconds applyTime_;
+  Seconds leaveTime_;
+  /// Pause that is expected between the watches of the kind that changes.
+  Millis pause_;
+};
+
+class WatchesOfAStream : public testing::TestWithParam<WatchCase>
 {};
 
-/// Guards against a call to the store for each change in a fleet in which some entry changes all the time, and against
-/// watches that are too rare for a target that leaves.
-TEST_P(LeaveTimeOfTargets, BoundsTheWatches)
+/// Guards against a call to the store for each change, in a fleet in which some entry changes all the time or while
+/// configurations come in a series, and against watches that are too rare to be in time.
+TEST_P(WatchesOfAStream, AreAsFarApartAsTheirTimeAllows)
 {
   constexpr Seconds kDuration(20);
   constexpr Millis kChangePeriod(20);
-  /// Lists, the watch of the configuration, the own entry, and a probe each second.
+  /// Lists, the watch of the other kind, the own entry, and a probe each second.
   constexpr uint64_t kOtherCalls = 26;
+  const WatchCase& test = GetParam();
   boost::asio::io_context loop{ 1 };
   ManualTimerService timers;
   Random random(1);
@@ -221,20 +232,33 @@
   auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
   ASSERT_TRUE(store) << reason.Text();
   store->Put("config", "main", Configuration(1, json::object()));
-  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", GetParam() };
+  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", test.applyTime_, test.leaveTime_ };
   Discovery discovery(loop, timers, settings, router, log, [] {});
   discovery.Start();
+  uint64_t change = 1;
   for (Micros passed{}; passed < kDuration; passed += kChangePeriod) {
-    store->Put("servers", "t1", TargetEntry({ { "seqNo", passed.count() } })["spec"]);
+    change++;
+    if (std::string(test.changingKind_) == "config") {
+      store->Put("config", "main", Configuration(change, json::object()));
+    } else {
+      store->Put("servers", "t1", TargetEntry({ { "seqNo", change } })["spec"]);
+    }
     timers.Advance(kChangePeriod);
     loop.run_for(std::chrono::milliseconds(1));
   }
-  const auto watches = static_cast<uint64_t>(kDuration / GetParam());
-  EXPECT_LE(discovery.StoreCalls(), kOtherCalls + 3 * watches);
-  EXPECT_GE(discovery.StoreCalls(), 2 * watches);
+  const auto watches = static_cast<uint64_t>(kDuration / test.pause_);
+  EXPECT_LE(discovery.StoreCalls(), kOtherCalls + watches);
+  EXPECT_GE(discovery.StoreCalls(), watches / 2);
 }
 
-INSTANTIATE_TEST_SUITE_P(Discovery, LeaveTimeOfTargets, testing::Values(Seconds(3), Seconds(6), Seconds(12)));
+INSTANTIATE_TEST_SUITE_P(
+  Discovery,
+  WatchesOfAStream,
+  testing::Values(WatchCase{ "TargetsThatLeaveIn3s", "servers", Seconds(3), Seconds(3), Millis(1000) },
+                  WatchCase{ "TargetsThatLeaveIn12s", "servers", Seconds(3), Seconds(12), Millis(4000) },
+                  WatchCase{ "ConfigurationsInForceIn3s", "config", Seconds(3), Seconds(3), Millis(500) },
+                  WatchCase{ "ConfigurationsInForceIn6s", "config", Seconds(6), Seconds(3), Millis(1000) }),
+  [](const auto& aCase) { return aCase.param.name_; });
 
 struct SettingCase
 {
@@ -282,6 +306,7 @@
                                          SettingCase{ "DelayNegative", "caller-delay = -3ms", "caller-delay" },
                                          SettingCase{ "ShareAboveOne", "extra-share = 1.5", "from 0 to 1" },
                                          SettingCase{ "ShareNotANumber", "extra-share = 0.2x", "extra-share" },
+                                         SettingCase{ "ApplyTimeTooLong", "apply-time = 1h", "apply-time" },
                                          SettingCase{ "LeaveTimeTooShort", "leave-time = 100ms", "from 0.5 s" },
                                          SettingCase{ "SlackIsNan", "extra-slack = nan", "extra-slack" },
                                          SettingCase{ "NoEquals", "stop-time 6s", "not of the form" }),
