--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -179,6 +179,19 @@
   EXPECT_EQ(fixture.store_->Count("ibisrock-instances"), 1U);
 }
 
+/// Guards against an instance of a large fleet that takes a share of the targets' connections as if the fleet were
+/// small: when all instances restart together, each then sends many times what the targets bear.
+TEST(Discovery, KnowsTheFleetFromTheStart)
+{
+  constexpr size_t kInstances = 79;
+  DiscoveryFixture fixture;
+  for (size_t i = 0; i < kInstances; i++) {
+    fixture.store_->Put("ibisrock-instances", "other-" + std::to_string(i), json::object());
+  }
+  ASSERT_TRUE(fixture.RunUntil([&] { return fixture.router_.IsReady(); }));
+  EXPECT_GE(fixture.router_.InstanceCount(), kInstances);
+}
+
 /// Guards against changes that are missed while the store is away, without an answer or with its history lost, and
 /// against targets that are dropped although they register again after its return.
 TEST(Discovery, CatchesUpAfterAnOutage)
