Wait for a target that has no connection free

Cause: a target that takes no further connection resets it while it is set up. That counted as an unreachable target: after two of them a request failed with 502 or 503, or its shard was lost, though 2.4 s were left and the targets had room moments later. Change: such a target is full for a moment. The call waits and tries again after 50 ms, doubled up to 400 ms and spread by half, while its time lasts; it counts neither as an arrival nor as one of the targets that the route allows. Ruled out: refused connections (none; all 3,832 errors after the restart are resets). Test first: a request is turned away four times and then served; it failed at once before. The mapping of the reset itself has no test, because loopback sockets do not reset while connecting. What is left there are resets after the request was written, which may have run.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -109,11 +109,11 @@
   LastReason reason;
   auto address = ParseSocketAddress(aCall.call_.address_.Value(), reason);
   aCall.connection_->Connect(address.value_or(SocketAddress()),
-                             [this, aId](bool aIsConnected) { OnConnected(aId, aIsConnected); });
+                             [this, aId](LoopHttpConnection::ConnectResult aResult) { OnConnected(aId, aResult); });
 }
 
 void
-HttpTargetLink::OnConnected(CallId aId, bool aIsConnected)
+HttpTargetLink::OnConnected(CallId aId, LoopHttpConnection::ConnectResult aResult)
 {
   auto found = calls_.find(aId);
   if (found == calls_.end()) {
@@ -121,8 +121,9 @@
   }
   Call& call = found->second;
   timers_.Cancel(call.timer_);
-  if (!aIsConnected) {
-    End(aId, MakeFailure(Verdict::NotRun, Reason::ConnectFailed));
+  if (aResult != LoopHttpConnection::ConnectResult::Connected) {
+    const bool isFull = aResult == LoopHttpConnection::ConnectResult::Refused;
+    End(aId, MakeFailure(Verdict::NotRun, isFull ? Reason::OverLimit : Reason::ConnectFailed));
   } else if (!call.callback_) {
     // Abandoned before it was sent: the connection serves the next call.
     KeepIdle(call.call_.target_, call.connection_);
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -51,7 +51,7 @@
   ConnectionPtr TakeIdle(const TargetName& aTarget);
   void KeepIdle(const TargetName& aTarget, const ConnectionPtr& aConnection);
   void OpenFor(CallId aId, Call& aCall);
-  void OnConnected(CallId aId, bool aIsConnected);
+  void OnConnected(CallId aId, LoopHttpConnection::ConnectResult aResult);
   void OnConnectTimeout(CallId aId);
   void Write(CallId aId, Call& aCall);
   void OnReply(CallId aId, std::optional<ServerReply> aReply);
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -66,7 +66,7 @@
   boost::system::error_code error;
   const auto ip = asio::ip::make_address(aAddress.ip_, error);
   if (error) {
-    asio::post(loop_, [onConnected = std::move(aOnConnected)] { onConnected(false); });
+    asio::post(loop_, [onConnected = std::move(aOnConnected)] { onConnected(ConnectResult::Failed); });
     return;
   }
   socket_.async_connect(
@@ -76,7 +76,7 @@
         return;
       }
       if (aError) {
-        onConnected(false);
+        onConnected(aError == asio::error::connection_reset ? ConnectResult::Refused : ConnectResult::Failed);
         return;
       }
       boost::system::error_code ignored;
@@ -85,7 +85,7 @@
       self->open_ = true;
       self->reusable_ = true;
       self->WaitReadable();
-      onConnected(true);
+      onConnected(ConnectResult::Connected);
     });
 }
 
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -41,7 +41,15 @@
 class LoopHttpConnection : public std::enable_shared_from_this<LoopHttpConnection>
 {
 public:
-  using OnConnected = std::function<void(bool aIsConnected)>;
+  enum class ConnectResult : uint8_t
+  {
+    Connected,
+    /// The server is there and closed the connection at once, because it has as many as it takes.
+    Refused,
+    Failed,
+  };
+
+  using OnConnected = std::function<void(ConnectResult aResult)>;
   /// Receives the reply, or no value and why the connection was lost.
   using OnReply = std::function<void(std::optional<ServerReply>, const LastReason&)>;
   /// Tells whether a reply belongs to the request. One that does not is dropped, and the next one is read.
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -19,6 +19,10 @@
 /// Pauses between tries to reach a target that could not be reached, doubled from the first to the last.
 constexpr Micros kFirstPause = Millis(100);
 constexpr Micros kLastPause = Seconds(1);
+/// Pauses of an instance that a target had no connection for, doubled from the first to the last. A connection to a
+/// target is set up in milliseconds; those of a whole fleet after a restart take a few hundred.
+constexpr Micros kFirstFullPause = Millis(50);
+constexpr Micros kLastFullPause = Millis(400);
 /// Work of a target that has just started takes about this many times as long.
 constexpr double kWarmUpFactor = 1.5;
 
@@ -53,6 +57,8 @@
     failures_ = 0;
     avoidedUntil_ = {};
     pause_ = {};
+    fullUntil_ = {};
+    fullPause_ = {};
   }
   record_ = aRecord;
   warmAt_ = aNow + aRecord.warmUpLeft_;
@@ -83,6 +89,8 @@
   Remove(aCall);
   pause_ = {};
   avoidedUntil_ = {};
+  fullPause_ = {};
+  fullUntil_ = {};
   allowed_ = std::min(static_cast<double>(limit_), allowed_ + kRaise / allowed_);
   ObserveSlowness(aNow, Ratio(aTook, aExpected));
   ObserveFailure(aNow, false);
@@ -104,6 +112,19 @@
   avoidedUntil_ = aNow + pause_;
 }
 
+Micros
+Target::OnOverLimit(CallId aCall, TimePoint aNow, double aSpread)
+{
+  Remove(aCall);
+  // Calls that were turned away together count once.
+  if (aNow >= fullUntil_) {
+    allowed_ = std::max(1.0, kCut * allowed_);
+    fullPause_ = std::clamp(2 * fullPause_, Micros(kFirstFullPause), Micros(kLastFullPause));
+    fullUntil_ = aNow + Scale(fullPause_, 0.5 + aSpread);
+  }
+  return fullUntil_ - aNow;
+}
+
 void
 Target::OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected)
 {
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -45,7 +45,7 @@
   void SetLimit(unsigned aLimit);
   /// Whether one more call may be sent. Below the limit this follows from the target itself: losses and refusals halve
   /// what it is given, replies raise it again.
-  bool HasRoom() const { return inFlight_.size() < static_cast<size_t>(allowed_); }
+  bool HasRoom(TimePoint aNow) const { return aNow >= fullUntil_ && inFlight_.size() < static_cast<size_t>(allowed_); }
   size_t InFlight() const { return inFlight_.size(); }
   /// Calls that it may have in flight now.
   double Allowance() const { return allowed_; }
@@ -61,6 +61,9 @@
   void OnFailure(CallId aCall, TimePoint aNow);
   /// The call could not reach the target at all.
   void OnUnreachable(CallId aCall, TimePoint aNow);
+  /// The target took no further connection. Returns the time after which one call may try again; aSpread from 0 to 1
+  /// spreads instances that are turned away together.
+  Micros OnOverLimit(CallId aCall, TimePoint aNow, double aSpread);
   /// A call was given up after aTook, because another target was faster. It takes room until it is released.
   void OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected);
   void OnReleased(CallId aCall) { Remove(aCall); }
@@ -101,6 +104,8 @@
   TimePoint failuresAt_;
   TimePoint avoidedUntil_{};
   Micros pause_{};
+  TimePoint fullUntil_{};
+  Micros fullPause_{};
 };
 
 } // namespace ibisrock
--- a/src/process/target_choice.cpp
+++ b/src/process/target_choice.cpp
@@ -46,7 +46,7 @@
     if (target->IsGone() || target->IsAvoided(aContext.now_) || IsExcluded(*target, aContext)) {
       continue;
     }
-    if (!target->HasRoom()) {
+    if (!target->HasRoom(aContext.now_)) {
       choice.hasFullTarget_ = true;
       continue;
     }
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -19,6 +19,13 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+/// Whether an attempt ended without an arrival at its target.
+constexpr bool
+HasNotArrived(Reason aReason)
+{
+  return aReason == Reason::ConnectFailed || aReason == Reason::OverLimit;
+}
+
 /// Whether a failed reply may go to the caller as it is. One that claims success without a proof, or that nothing ran,
 /// would say more than is known.
 bool
@@ -103,6 +110,7 @@
   const Micros expected = UsualTime();
   target->OnSent(*id, now, expected);
   tried_.push_back(target->Record().name_);
+  sent_++;
   attempts_.push_back({ *id, std::move(target), now, expected, aExtra });
   state_ = State::InFlight;
   return true;
@@ -184,6 +192,10 @@
   const Attempt attempt = std::move(*found);
   attempts_.erase(found);
   Observe(attempt, aOutcome);
+  if (aOutcome.reason_ == Reason::OverLimit) {
+    // The target was not reached; it may be asked again when it has room.
+    std::erase(tried_, attempt.target_->Record().name_);
+  }
   scope_.context_.Pool(pool_).waiting_.OnRoom(scope_.context_.timers_.Now());
   verdict_ = Combine(verdict_, aOutcome.verdict_);
   lastReason_ = aOutcome.reason_;
@@ -224,12 +236,24 @@
   }
   if (aOutcome.reason_ == Reason::ConnectFailed) {
     aAttempt.target_->OnUnreachable(aAttempt.id_, now);
-    if (aAttempt.extra_) {
-      scope_.context_.Pool(pool_).extra_.GiveBack();
-    }
+  } else if (aOutcome.reason_ == Reason::OverLimit) {
+    OnOverLimit(*aAttempt.target_, aAttempt.id_);
   } else {
     aAttempt.target_->OnFailure(aAttempt.id_, now);
   }
+  if (aAttempt.extra_ && HasNotArrived(aOutcome.reason_)) {
+    scope_.context_.Pool(pool_).extra_.GiveBack();
+  }
+}
+
+/// Lets the waiting calls try again when the target's pause is over, because no call in flight may end before.
+void
+PoolCall::OnOverLimit(Target& aTarget, CallId aCall)
+{
+  RoutingContext& context = scope_.context_;
+  const Micros pause = aTarget.OnOverLimit(aCall, context.timers_.Now(), context.random_.Unit());
+  context.timers_.After(
+    pause, [&pool = context.Pool(pool_), &timers = context.timers_] { pool.waiting_.OnRoom(timers.Now()); });
 }
 
 /// Retries on another target, or gives up when no other attempt is in flight.
@@ -249,8 +273,8 @@
 PoolCall::Retry()
 {
   ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
-  // An attempt that did not reach its target is no arrival there, so its successor costs nothing.
-  const bool free = lastReason_ == Reason::ConnectFailed;
+  // The successor of an attempt that is no arrival costs nothing.
+  const bool free = HasNotArrived(lastReason_);
   if (!free && !budget.TryTake()) {
     return false;
   }
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -70,7 +70,7 @@
   Verdict CombinedVerdict() const;
   Reason LastReason() const { return lastReason_; }
   const PoolName& Pool() const { return pool_; }
-  size_t AttemptCount() const { return tried_.size(); }
+  size_t AttemptCount() const { return sent_; }
 
 private:
   struct Attempt
@@ -90,6 +90,7 @@
   bool TryAgain();
   Micros UsualTime() const;
   void OnOutcome(CallId aId, TargetOutcome aOutcome);
+  void OnOverLimit(Target& aTarget, CallId aCall);
   void Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome);
   bool HasExpired() const { return scope_.context_.timers_.Now() >= scope_.deadline_; }
   void OnFailedAttempt();
@@ -102,7 +103,9 @@
   PoolCallObserver& observer_;
   State state_ = State::NotStarted;
   std::vector<Attempt> attempts_;
+  /// Targets that were asked and may have been reached.
   std::vector<TargetName> tried_;
+  size_t sent_ = 0;
   std::optional<RoomQueue::Position> waiting_;
   std::optional<TargetOutcome> reply_;
   Verdict verdict_ = Verdict::NotRun;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -293,6 +293,32 @@
   EXPECT_NE(fixture.link_.Targets().back(), "pool/1");
 }
 
+/// Guards against requests that fail at once although their targets have only no connection free for a moment: all
+/// instances of a fleet connect together after a restart.
+TEST(Router, WaitsForTargetsWithoutAFreeConnection)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::NonIdempotent) });
+  fixture.SetTargets({ "pool" }, 2);
+  fixture.Submit("/relay/x");
+  size_t refused = 0;
+  // Both targets, and each of them twice: more often than the route allows targets that may have run a request.
+  for (int round = 0; round < 4; round++) {
+    while (refused == fixture.link_.sent_.size()) {
+      ASSERT_TRUE(fixture.timers_.RunNext());
+    }
+    fixture.link_.End(refused, Failure(Verdict::NotRun, Reason::OverLimit));
+    refused++;
+    EXPECT_TRUE(fixture.replies_.empty());
+  }
+  while (refused == fixture.link_.sent_.size()) {
+    ASSERT_TRUE(fixture.timers_.RunNext());
+  }
+  fixture.link_.End(refused, Success("x"));
+  ASSERT_EQ(fixture.replies_.size(), 1U);
+  EXPECT_EQ(fixture.replies_[0].status_, 200U);
+}
+
 /// Replays the first seconds after a restart of all instances, when more requests come than targets take. Guards
 /// against a queue in order of arrival, which serves only requests that are late already.
 TEST(Router, ServesRequestsInTimeBeforeLateOnes)
