Add ibisrock explain, which follows one request through the logs

Cause: the way from an id to its cause was a grep over the logs of all instances and knowledge of each field.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -35,6 +35,8 @@
 ExitCode
 RunCheck(const CommandCall& aCall);
 ExitCode
+RunExplain(const CommandCall& aCall);
+ExitCode
 RunApply(const CommandCall& aCall);
 ExitCode
 RunStatus(const CommandCall& aCall);
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -18,6 +18,7 @@
   ibisrock dump --instance IP:PORT [--json]
   ibisrock query SERVICE BODY --instance IP:PORT [--caller NAME] [--non-idempotent] [--key KEY]
                  [--deadline-ms N] [--coverage WHICH] [--json]
+  ibisrock explain REQUEST LOG...
   ibisrock --help
   ibisrock --version
 
@@ -27,6 +28,7 @@
   status   Shows the version in force and whether each instance is ready with it.
   dump     Shows the state of one instance.
   query    Sends one query.
+  explain  Follows one request, by its id, through the logs of entry instances.
 
 Options:
   --platform IP:PORT   Address of the platform's object API and instance list.
@@ -57,11 +59,8 @@
   ExitCode (*run_)(const CommandCall&);
 };
 
-constexpr Command kCommands[] = { { "check", &RunCheck },
-                                  { "apply", &RunApply },
-                                  { "status", &RunStatus },
-                                  { "dump", &RunDump },
-                                  { "query", &RunQuery } };
+constexpr Command kCommands[] = { { "check", &RunCheck }, { "apply", &RunApply }, { "status", &RunStatus },
+                                  { "dump", &RunDump },   { "query", &RunQuery }, { "explain", &RunExplain } };
 
 } // namespace
 
