Refuse for waiting only where something waits

That a call takes longer than usual is not known before. Change: the estimate holds only for calls that wait or would have to; without a queue a request is sent. Test first: a request with 3 ms left and an idle target; it was refused before.

--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -144,14 +144,11 @@
   if (state_ == State::GivenUp) {
     return {};
   }
-  if (state_ == State::InFlight || state_ == State::Replied) {
-    return { Micros::zero(), {} };
-  }
   RoutingContext& context = scope_.context_;
   const RoomQueue& queue = context.Pool(pool_).waiting_;
   // Most of the time nothing waits, and a request to many shards should pay nothing for that.
-  if (queue.Size() == 0) {
-    return { UsualTime(), {} };
+  if (state_ == State::InFlight || state_ == State::Replied || queue.Size() == 0) {
+    return { Micros::zero(), {} };
   }
   return EstimateWait(queue,
                       context.targets_.TargetsOf(pool_),
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -55,8 +55,8 @@
   /// Ends all attempts.
   void Stop(Abandon aHow);
 
-  /// When a reply is expected: by the queue for a call that waits for room or would have to, and at once for one that
-  /// is in flight or has replied, since the queue says nothing about those.
+  /// When a reply is expected, for a call that waits for room or would have to. Zero for any other, because nothing is
+  /// known that speaks against a reply in time: a call may be faster than usual.
   WaitEstimate ExpectedReply() const;
 
   /// Counts a call that is not started because its run was refused as one that would have waited.
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -166,6 +166,18 @@
   EXPECT_EQ(replay.CountWith(200), 50U);
 }
 
+/// Guards against refusals of requests that are only short of time: nothing waits, and the target may be faster than
+/// usual.
+TEST(Overload, IsNotSeenInAShortTimeLeft)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ SingleTryRelay() });
+  fixture.SetTargets({ "pool" }, 1);
+  fixture.Submit("/relay/x", Millis(3));
+  EXPECT_TRUE(fixture.replies_.empty());
+  EXPECT_EQ(fixture.link_.sent_.size(), 1U);
+}
+
 struct HotShardCase
 {
   const char* name_;
