--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -213,6 +213,36 @@
   }
 }
 
+/// Guards against a change that waits for the pause between watches although nothing came before it: an operator's
+/// first write after an outage, while the targets of the old configuration are gone.
+TEST(Discovery, TakesAChangeRightAfterTheListAtOnce)
+{
+  boost::asio::io_context loop{ 1 };
+  ManualTimerService timers;
+  Random random(1);
+  tests::FakeTargetLink link;
+  NullLog log;
+  Router router({}, timers, random, link, nullptr);
+  LastReason reason;
+  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
+  ASSERT_TRUE(store) << reason.Text();
+  store->Put("config", "main", Configuration(1, json::object()));
+  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", Seconds(3), Seconds(3) };
+  Discovery discovery(loop, timers, settings, router, log, [] {});
+  discovery.Start();
+  // The clock moves by much less than a pause.
+  const auto runUntil = [&loop, &timers](auto aIsDone) {
+    for (int step = 0; step < 1000 && !aIsDone(); step++) {
+      timers.Advance(Micros(100));
+      loop.run_for(std::chrono::milliseconds(1));
+    }
+    return aIsDone();
+  };
+  ASSERT_TRUE(runUntil([&router] { return router.Routes() != nullptr; }));
+  store->Put("config", "main", Configuration(2, json::object()));
+  EXPECT_TRUE(runUntil([&router] { return router.Routes()->Version() == ConfigVersion(2); }));
+}
+
 struct WatchCase
 {
   const char* name_;
