Take a token for the successor of a hedge that found no connection

Cause: a hedge that its target had no connection for gave its token back, as no arrival, and its successor went out free, while the first attempt had arrived: an extra arrival without a token. Since full targets may be asked again, this could happen several times in a call. Change: only the successor of a first attempt that did not arrive is free. Test first: the second request of two was hedged with the token that the successor should have taken; it is not any more.

--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -205,7 +205,7 @@
     if (MayPassOnFailure(aOutcome)) {
       reply_ = std::move(aOutcome);
     }
-    OnFailedAttempt();
+    OnFailedAttempt(attempt.extra_);
   }
 }
 
@@ -255,11 +255,11 @@
 
 /// Retries on another target, or gives up when no other attempt is in flight.
 void
-PoolCall::OnFailedAttempt()
+PoolCall::OnFailedAttempt(bool aWasExtra)
 {
   const bool mayRetry =
     tried_.size() < scope_.route_.maxTargets_ && (MayRepeat() || CombinedVerdict() == Verdict::NotRun);
-  if (!(mayRetry && Retry()) && attempts_.empty()) {
+  if (!(mayRetry && Retry(aWasExtra)) && attempts_.empty()) {
     GiveUp();
   }
 }
@@ -267,11 +267,12 @@
 /// Sends another attempt, or waits until another target has room. Returns false when there is no such target or no
 /// token.
 bool
-PoolCall::Retry()
+PoolCall::Retry(bool aWasExtra)
 {
   ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extra_;
-  // The successor of an attempt that is no arrival costs nothing.
-  const bool free = HasNotArrived(lastReason_);
+  // The successor of a first attempt that is no arrival costs nothing. An extra attempt that is none has given its
+  // token back, so its successor takes one again.
+  const bool free = HasNotArrived(lastReason_) && !aWasExtra;
   if (!free && !budget.TryTake()) {
     return false;
   }
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -93,8 +93,8 @@
   void OnOverLimit(Target& aTarget, CallId aCall);
   void Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome);
   bool HasExpired() const { return scope_.context_.timers_.Now() >= scope_.deadline_; }
-  void OnFailedAttempt();
-  bool Retry();
+  void OnFailedAttempt(bool aWasExtra);
+  bool Retry(bool aWasExtra);
   void GiveUp();
 
   const RunScope& scope_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -319,6 +319,29 @@
   EXPECT_EQ(fixture.replies_[0].status_, 200U);
 }
 
+/// Guards against extra arrivals without a token: the successor of a hedge that found no connection is a hedge itself.
+TEST(Router, TakesATokenForTheSuccessorOfAHedge)
+{
+  // One and a half tokens and none to earn: enough for one hedge, which leaves a quarter of them for retries.
+  RouterSettings settings = RouterFixture::DefaultSettings();
+  settings.limits_.extraShare_ = 0;
+  settings.limits_.extraSlack_ = 2;
+  RouterFixture fixture(settings);
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::Idempotent) });
+  fixture.SetTargets({ "pool" }, 3);
+  fixture.Submit("/relay/first");
+  while (fixture.link_.sent_.size() == 1) {
+    ASSERT_TRUE(fixture.timers_.RunNext());
+  }
+  fixture.link_.End(1, Failure(Verdict::NotRun, Reason::OverLimit));
+  ASSERT_EQ(fixture.link_.sent_.size(), 3U);
+  fixture.link_.End(2, Success("x"));
+  fixture.link_.End(0, Success("x"));
+  fixture.Submit("/relay/second");
+  fixture.timers_.Advance(Seconds(2));
+  EXPECT_EQ(fixture.link_.sent_.size(), 4U) << "a second hedge was sent";
+}
+
 /// Replays the first seconds after a restart of all instances, when more requests come than targets take. Guards
 /// against a queue in order of arrival, which serves only requests that are late already.
 TEST(Router, ServesRequestsInTimeBeforeLateOnes)
