--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -213,34 +213,58 @@
   }
 }
 
+/// Discovery that reads from an emulated store on a loop, with a clock that the test moves.
+class DiscoveryOnAManualClock
+{
+public:
+  DiscoveryOnAManualClock(Seconds aApplyTime, Seconds aLeaveTime)
+  {
+    LastReason reason;
+    store_ = StoreEmulator::Create(loop_, timers_, { "127.0.0.1", 0 }, reason);
+    EXPECT_TRUE(store_) << reason.Text();
+    store_->Put("config", "main", Configuration(1, json::object()));
+    const Discovery::Settings settings{ { "127.0.0.1", store_->Port() }, "entry-1", "z", aApplyTime, aLeaveTime };
+    discovery_.emplace(loop_, timers_, settings, router_, log_, [] {});
+    discovery_->Start();
+  }
+
+  /// Moves the clock, and lets the sockets follow.
+  void Step(Micros aTime)
+  {
+    timers_.Advance(aTime);
+    loop_.run_for(std::chrono::milliseconds(1));
+  }
+
+  boost::asio::io_context loop_{ 1 };
+  ManualTimerService timers_;
+  Random random_{ 1 };
+  tests::FakeTargetLink link_;
+  NullLog log_;
+  Router router_{ {}, timers_, random_, link_, nullptr };
+  std::unique_ptr<StoreEmulator> store_;
+  std::optional<Discovery> discovery_;
+};
+
 /// Guards against a change that waits for the pause between watches although nothing came before it: an operator's
 /// first write after an outage, while the targets of the old configuration are gone.
 TEST(Discovery, TakesAChangeRightAfterTheListAtOnce)
 {
-  boost::asio::io_context loop{ 1 };
-  ManualTimerService timers;
-  Random random(1);
-  tests::FakeTargetLink link;
-  NullLog log;
-  Router router({}, timers, random, link, nullptr);
-  LastReason reason;
-  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
-  ASSERT_TRUE(store) << reason.Text();
-  store->Put("config", "main", Configuration(1, json::object()));
-  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", Seconds(3), Seconds(3) };
-  Discovery discovery(loop, timers, settings, router, log, [] {});
-  discovery.Start();
-  // The clock moves by much less than a pause.
-  const auto runUntil = [&loop, &timers](auto aIsDone) {
-    for (int step = 0; step < 1000 && !aIsDone(); step++) {
-      timers.Advance(Micros(100));
-      loop.run_for(std::chrono::milliseconds(1));
+  // All steps together are much less than a pause.
+  constexpr Micros kStep(100);
+  constexpr int kSteps = 1000;
+  DiscoveryOnAManualClock fixture(Seconds(3), Seconds(3));
+  const auto isInForce = [&fixture](uint64_t aVersion) {
+    for (int step = 0; step < kSteps; step++) {
+      if (fixture.router_.Routes() && fixture.router_.Routes()->Version() == ConfigVersion(aVersion)) {
+        return true;
+      }
+      fixture.Step(kStep);
     }
-    return aIsDone();
+    return false;
   };
-  ASSERT_TRUE(runUntil([&router] { return router.Routes() != nullptr; }));
-  store->Put("config", "main", Configuration(2, json::object()));
-  EXPECT_TRUE(runUntil([&router] { return router.Routes()->Version() == ConfigVersion(2); }));
+  ASSERT_TRUE(isInForce(1));
+  fixture.store_->Put("config", "main", Configuration(2, json::object()));
+  EXPECT_TRUE(isInForce(2));
 }
 
 struct WatchCase
@@ -265,33 +289,20 @@
   /// Lists, the watch of the other kind, the own entry, and a probe each second.
   constexpr uint64_t kOtherCalls = 26;
   const WatchCase& test = GetParam();
-  boost::asio::io_context loop{ 1 };
-  ManualTimerService timers;
-  Random random(1);
-  tests::FakeTargetLink link;
-  NullLog log;
-  Router router({}, timers, random, link, nullptr);
-  LastReason reason;
-  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
-  ASSERT_TRUE(store) << reason.Text();
-  store->Put("config", "main", Configuration(1, json::object()));
-  Discovery::Settings settings{ { "127.0.0.1", store->Port() }, "entry-1", "z", test.applyTime_, test.leaveTime_ };
-  Discovery discovery(loop, timers, settings, router, log, [] {});
-  discovery.Start();
+  DiscoveryOnAManualClock fixture(test.applyTime_, test.leaveTime_);
   uint64_t change = 1;
   for (Micros passed{}; passed < kDuration; passed += kChangePeriod) {
     change++;
     if (std::string(test.changingKind_) == "config") {
-      store->Put("config", "main", Configuration(change, json::object()));
+      fixture.store_->Put("config", "main", Configuration(change, json::object()));
     } else {
-      store->Put("servers", "t1", TargetEntry({ { "seqNo", change } })["spec"]);
+      fixture.store_->Put("servers", "t1", TargetEntry({ { "seqNo", change } })["spec"]);
     }
-    timers.Advance(kChangePeriod);
-    loop.run_for(std::chrono::milliseconds(1));
+    fixture.Step(kChangePeriod);
   }
   const auto watches = static_cast<uint64_t>(kDuration / test.pause_);
-  EXPECT_LE(discovery.StoreCalls(), kOtherCalls + watches);
-  EXPECT_GE(discovery.StoreCalls(), watches / 2);
+  EXPECT_LE(fixture.discovery_->StoreCalls(), kOtherCalls + watches);
+  EXPECT_GE(fixture.discovery_->StoreCalls(), watches / 2);
 }
 
 INSTANTIATE_TEST_SUITE_P(
