--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -250,8 +250,8 @@
 TEST(Discovery, TakesAChangeRightAfterTheListAtOnce)
 {
   // All steps together are much less than a pause.
-  constexpr Micros kStep(100);
-  constexpr int kSteps = 1000;
+  static constexpr Micros kStep(100);
+  static constexpr int kSteps = 1000;
   DiscoveryOnAManualClock fixture(Seconds(3), Seconds(3));
   const auto isInForce = [&fixture](uint64_t aVersion) {
     for (int step = 0; step < kSteps; step++) {
