--- a/src/process/router.h
+++ b/src/process/router.h
@@ -50,6 +50,8 @@
   void UpsertTarget(const TargetRecord& aRecord);
   void RemoveTarget(const TargetName& aName) { targets_.Remove(aName); }
   size_t TargetCount() const { return targets_.Size(); }
+  /// Whether the pool has a target that accepts calls.
+  bool HasTargets(const PoolName& aPool) const { return !targets_.TargetsOf(aPool).empty(); }
   size_t InstanceCount() const { return instances_; }
 
   /// Whether configuration and target updates are being received. While they are not, a request without a matching
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -289,6 +289,30 @@
   EXPECT_TRUE(isInForce(2));
 }
 
+/// Guards against requests that fail after the index was cut anew: the configuration names a new pool while the watch
+/// of its targets pauses. Both come into force within 100 ms, much less than the pause of 1 s.
+TEST(Discovery, ConfigurationOfNewPoolComesWithItsTargets)
+{
+  ManualClockDiscoveryFixture fixture(Seconds(3), Seconds(3));
+  fixture.store_->Put("servers", "t1", TargetEntry(json::object())["spec"]);
+  for (int step = 0; step < 100 && !fixture.router_.IsReady(); step++) {
+    fixture.Step(Millis(1));
+  }
+  // Begins the pause.
+  fixture.store_->Put("servers", "t1", TargetEntry({ { "seqNo", 5 } })["spec"]);
+  for (int step = 0; step < 20; step++) {
+    fixture.Step(Millis(1));
+  }
+  fixture.store_->Put("servers", "t2", TargetEntry({ { "service", "new" } })["spec"]);
+  fixture.store_->Put("config", "main", Configuration(2, { { "service", "new" } }));
+  const auto isInForce = [&] { return fixture.router_.Routes()->Version() == ConfigVersion(2); };
+  for (int step = 0; step < 100 && !isInForce(); step++) {
+    fixture.Step(Millis(1));
+  }
+  EXPECT_TRUE(isInForce());
+  EXPECT_TRUE(fixture.router_.HasTargets(PoolName("new")));
+}
+
 struct WatchPauseCase
 {
   const char* name_;
