Give the fixed part of the extra-attempt bound out by use

Instances report their request rate to their relay, relays with their registration. Each request earns a part of a fifth of the fixed bound, divided by the fleet's requests of a window; less while an instance gets more than usual. Deployments on which this is below 0.1 a request keep what they had.

--- /dev/null
+++ b/src/process/extra_attempt_share.cpp
@@ -0,0 +1,60 @@
+#include "process/extra_attempt_share.h"
+
+#include <algorithm>
+
+namespace ibisrock {
+
+namespace {
+
+/// Window for which the bounds hold.
+constexpr Micros kWindow = Seconds(10);
+/// Fraction of the shared bound on extra arrivals that the instances use. The rest allows for requests that an instance
+/// counts earlier or later than the targets do.
+constexpr double kShareFactor = 0.85;
+/// Fraction of the fixed part of that bound that the instances may hold as saved tokens. In any window an instance
+/// sends at most its saved tokens plus those earned in the window.
+constexpr double kSavedFactor = 0.75;
+/// Fraction of the fixed part that is earned by use. The rest covers instances that restart with a full budget and
+/// rates that are reported late.
+constexpr double kByUseFactor = 0.2;
+/// Below this many tokens for each request the part by use is not worth its margin.
+constexpr double kMinByUse = 0.1;
+/// Bound on the tokens earned by a request, because a reported rate may be far too low.
+constexpr double kMaxPerAttempt = 0.6;
+/// Fraction of the earned tokens that hedges use when every attempt beyond the quantile is hedged. The rest is for
+/// retries and for times at which more attempts are slow than usual.
+constexpr double kHedgeFactor = 0.5;
+/// Limits of the quantile. Above the upper one a hedge comes too late; below the lower one half of the attempts would
+/// be sent twice.
+constexpr double kMinHedgeQuantile = 0.7;
+constexpr double kMaxHedgeQuantile = 0.92;
+
+/// Tokens by use for each request. They shrink while this instance gets more requests than usual, because the fleet's
+/// rate is then probably higher than reported.
+double
+TokensByUse(double aSlack, const FleetLoad& aLoad)
+{
+  if (aLoad.fleetRate_.value_ <= 0) {
+    return 0;
+  }
+  const double inWindow = aLoad.fleetRate_.value_ * std::chrono::duration<double>(kWindow).count();
+  const double growth =
+    aLoad.ownUsualRate_.value_ > 0 ? std::max(1.0, aLoad.ownRate_.value_ / aLoad.ownUsualRate_.value_) : 1.0;
+  const double tokens = kByUseFactor * aSlack / (inWindow * growth);
+  return tokens < kMinByUse ? 0 : tokens;
+}
+
+} // namespace
+
+ExtraAttemptShare
+ComputeExtraAttemptShare(double aShare, double aSlack, const FleetLoad& aLoad)
+{
+  ExtraAttemptShare share;
+  const double byRequests = kShareFactor * aShare;
+  share.perAttempt_ = std::max(byRequests, std::min(byRequests + TokensByUse(aSlack, aLoad), kMaxPerAttempt));
+  share.maxTokens_ = kSavedFactor * aSlack / static_cast<double>(std::max<size_t>(aLoad.instances_, 1));
+  share.hedgeQuantile_ = std::clamp(1 - kHedgeFactor * share.perAttempt_, kMinHedgeQuantile, kMaxHedgeQuantile);
+  return share;
+}
+
+} // namespace ibisrock
--- a/src/process/latency_tracker.cpp
+++ b/src/process/latency_tracker.cpp
@@ -25,6 +25,13 @@
 {
 }
 
+void
+LatencyTracker::SetQuantile(double aQuantile)
+{
+  std::lock_guard lock(mutex_);
+  quantile_ = aQuantile;
+}
+
 void
 LatencyTracker::Record(TimePoint aNow, Micros aLatency)
 {
--- a/src/process/latency_tracker.h
+++ b/src/process/latency_tracker.h
@@ -20,6 +20,7 @@
 
   explicit LatencyTracker(double aQuantile = kDefaultQuantile);
 
+  void SetQuantile(double aQuantile);
   /// Adds the latency of a first attempt. A cancelled attempt counts with the time until its cancellation; ignoring it
   /// would exclude slow attempts and bias the quantile low.
   void Record(TimePoint aNow, Micros aLatency);
@@ -33,7 +34,7 @@
 
   Micros Quantile() const;
 
-  const double quantile_;
+  double quantile_;
   std::mutex mutex_;
   Histogram histogram_;
   double totalWeight_ = 0;
--- a/src/process/relay_directory.cpp
+++ b/src/process/relay_directory.cpp
@@ -77,6 +77,16 @@
   return count;
 }
 
+PerSecond
+RelayDirectory::RequestRate(TimePoint aNow) const
+{
+  PerSecond rate;
+  for (const auto& [name, entry] : entries_) {
+    rate.value_ += IsExpired(entry, aNow) ? 0 : entry.slot_.requestRate_.value_;
+  }
+  return rate;
+}
+
 std::vector<RelaySlot>
 RelayDirectory::Slots() const
 {
--- a/src/process/relay_directory.h
+++ b/src/process/relay_directory.h
@@ -24,6 +24,8 @@
   DataCentre dataCentre_;
   /// Number of instances that use the relay, including itself.
   size_t served_ = 0;
+  /// Requests to these instances.
+  PerSecond requestRate_;
   /// Changes with each renewal.
   uint64_t revision_ = 0;
 };
@@ -68,6 +70,8 @@
   void OnFailed(const PeerAddress& aAddress, TimePoint aNow) { failedAt_[aAddress] = aNow; }
   /// Number of instances that use the relays with a live registration.
   size_t InstanceCount(TimePoint aNow) const;
+  /// Rate of requests to these instances.
+  PerSecond RequestRate(TimePoint aNow) const;
   std::vector<RelaySlot> Slots() const;
 
 private:
--- a/src/process/route_state.h
+++ b/src/process/route_state.h
@@ -15,10 +15,6 @@
 class RouteState
 {
 public:
-  /// Latency quantile after which a call is hedged. The hedges must fit in the shared extra-attempt budget even while
-  /// targets pause.
-  static constexpr double kHedgeQuantile = 0.92;
-
   /// Selects the pool of the next request by smooth weighted round-robin, which follows the weights as exactly as
   /// possible.
   const PoolName& PickPool(const std::vector<WeightedPool>& aPools, Random& aRandom);
@@ -29,10 +25,16 @@
   /// Retry-After delay for a refused request: at least aMinDelay, after which capacity is expected. Consecutive
   /// refusals get delays aInterval apart, so that the callers do not all retry at once.
   Micros RetryAfter(TimePoint aNow, Micros aMinDelay, Micros aInterval);
-  Micros HedgeDelay(TimePoint aNow, Micros aFallback) { return latencies_.HedgeDelay(aNow, aFallback); }
+  /// Delay after which a call is hedged: the given quantile of the call latencies, or aFallback while there are too few
+  /// observations.
+  Micros HedgeDelay(TimePoint aNow, double aQuantile, Micros aFallback)
+  {
+    latencies_.SetQuantile(aQuantile);
+    return latencies_.HedgeDelay(aNow, aFallback);
+  }
 
 private:
-  LatencyTracker latencies_{ kHedgeQuantile };
+  LatencyTracker latencies_;
   Micros meanLatency_{};
   std::unordered_map<PoolName, double> currentWeights_;
   TimePoint lastRetryAt_{};
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -8,13 +8,12 @@
 
 namespace {
 
-/// Fraction of the shared bound on extra arrivals that the instances use. The rest allows for requests that an instance
-/// counts earlier or later than the targets do.
-constexpr double kExtraShareFactor = 0.85;
-/// Fraction of the fixed part of that bound that the instances may hold as saved tokens. In any window an instance
-/// sends at most its saved tokens plus those earned in the window. The rest covers instances that restart with a full
-/// budget.
-constexpr double kExtraSlackFactor = 0.75;
+/// Time constants of the latest and the usual rate of requests.
+constexpr Micros kLatestRateTime = Seconds(5);
+constexpr Micros kUsualRateTime = Seconds(30);
+/// The reported rate of the fleet falls by at most this factor with each report, because relays that have just started
+/// report too little.
+constexpr double kFleetRateDecay = 0.97;
 /// Retry-After of refusals. An instance that has just started receives its configuration and targets within this time.
 constexpr Micros kRetryAfterRefusal = Millis(250);
 /// Concurrency limit of a target whose pool does not set a maximum number of connections.
@@ -35,8 +34,7 @@
            aTargets,
            aSettings.dataCentre_,
            aPools,
-           kExtraShareFactor * aSettings.limits_.extraShare_,
-           kExtraSlackFactor * aSettings.limits_.extraSlack_,
+           ComputeExtraAttemptShare(aSettings.limits_.extraShare_, aSettings.limits_.extraSlack_, {}),
            aLog,
            {} };
 }
@@ -49,6 +47,8 @@
   , log_(aLog)
   , link_(aLink)
   , targets_(aTimers, [&aLink](const TargetName& aName) { aLink.Forget(aName); })
+  , latestRate_(kLatestRateTime)
+  , usualRate_(kUsualRateTime)
   , context_(MakeRoutingContext(settings_, aTimers, aRandom, aLink, targets_, pools_, aLog))
 {
 }
@@ -100,6 +100,13 @@
   ApplyConnectionLimits();
 }
 
+void
+Router::SetFleetRate(PerSecond aRate)
+{
+  fleetRate_.value_ = std::max(aRate.value_, kFleetRateDecay * fleetRate_.value_);
+  ApplyBudgets();
+}
+
 void
 Router::SetLimits(const RouterLimits& aLimits)
 {
@@ -111,10 +118,17 @@
 void
 Router::ApplyBudgets()
 {
-  context_.extraShare_ = kExtraShareFactor * settings_.limits_.extraShare_;
-  context_.maxExtraTokens_ = kExtraSlackFactor * settings_.limits_.extraSlack_ / static_cast<double>(instances_);
+  const TimePoint now = timers_.Now();
+  const ExtraAttemptShare share =
+    ComputeExtraAttemptShare(settings_.limits_.extraShare_,
+                             settings_.limits_.extraSlack_,
+                             { instances_, fleetRate_, latestRate_.At(now), usualRate_.At(now) });
+  if (share == context_.extraShare_) {
+    return;
+  }
+  context_.extraShare_ = share;
   for (auto& [name, pool] : pools_) {
-    pool.extraBudget_.SetBounds(context_.extraShare_, context_.maxExtraTokens_);
+    pool.extraBudget_.SetBounds(share.perAttempt_, share.maxTokens_);
   }
 }
 
@@ -141,6 +155,8 @@
 RunId
 Router::Submit(std::shared_ptr<const CallerRequest> aRequest, OnReply aOnReply)
 {
+  latestRate_.Count(timers_.Now());
+  usualRate_.Count(timers_.Now());
   if (!IsReady()) {
     Refuse(*aRequest, 503, Reason::NotReady, aOnReply);
     return RunId();
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_PROCESS_ROUTER_H
 #define IBISROCK_PROCESS_ROUTER_H
 
+#include "process/request_rate.h"
 #include "process/router_log.h"
 #include "process/routing_context.h"
 #include "request/routed_run.h"
@@ -59,6 +60,10 @@
   void SetDiscoveryCurrent(bool aCurrent) { discoveryCurrent_ = aCurrent; }
   /// Sets the number of instances that share the connection limits and the extra-attempt budgets.
   void SetInstanceCount(size_t aCount);
+  /// Sets the rate of requests to all instances together, as relays report it.
+  void SetFleetRate(PerSecond aRate);
+  /// Usual rate of requests to this instance.
+  PerSecond RequestRate() const { return usualRate_.At(timers_.Now()); }
   void SetLimits(const RouterLimits& aLimits);
 
   bool IsReady() const { return table_ != nullptr && hasTargets_; }
@@ -92,6 +97,9 @@
   std::unordered_map<RouteName, RouteState> routeStates_;
   TargetLink& link_;
   TargetDirectory targets_;
+  ::ibisrock::RequestRate latestRate_;
+  ::ibisrock::RequestRate usualRate_;
+  PerSecond fleetRate_;
   RoutingContext context_;
   std::shared_ptr<const RouteTable> table_;
   bool hasTargets_ = false;
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -5,6 +5,7 @@
 #include "base/target_link.h"
 #include "base/timer_service.h"
 #include "process/attempt_log.h"
+#include "process/extra_attempt_share.h"
 #include "process/pool_state.h"
 #include "process/reply_lag.h"
 #include "process/route_state.h"
@@ -21,17 +22,15 @@
   TargetDirectory& targets_;
   DataCentre dataCentre_;
   std::unordered_map<PoolName, PoolState>& pools_;
-  /// Bounds of the extra-attempt budget of each pool: tokens earned per first attempt, and the largest number of saved
-  /// tokens.
-  double extraShare_ = 0;
-  double maxExtraTokens_ = 0;
+  /// Bounds of the extra-attempt budget of each pool.
+  ExtraAttemptShare extraShare_{};
   /// May be null.
   AttemptLog* log_ = nullptr;
   ReplyLag replyLag_{};
 
   PoolState& Pool(const PoolName& aName)
   {
-    return pools_.try_emplace(aName, extraShare_, maxExtraTokens_).first->second;
+    return pools_.try_emplace(aName, extraShare_.perAttempt_, extraShare_.maxTokens_).first->second;
   }
 };
 
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -134,7 +134,8 @@
   }
   const TimePoint now = scope_.context_.timers_.Now();
   const Micros initialDelay = Scale(scope_.route_.objective_, kInitialHedgeShare);
-  const TimePoint hedgeAt = now + scope_.state_.HedgeDelay(now, initialDelay);
+  const TimePoint hedgeAt =
+    now + scope_.state_.HedgeDelay(now, scope_.context_.extraShare_.hedgeQuantile_, initialDelay);
   if (scope_.route_.kind_ == RequestKind::Idempotent && hedgeAt < timing_.deadline_) {
     ScheduleAt(hedgeAt, &RoutedRun::OnHedgeDelay);
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -200,6 +200,7 @@
                           PeerAddress("127.0.0.1:1"),
                           DataCentre("z"),
                           kServedByEach,
+                          {},
                           0 };
     fixture.store_->Put(RelayRegistration::kKind, slot.name_.Value(), RelayRegistration::Encode(slot)["spec"]);
   }
--- a/tests/relay_directory_test.cpp
+++ b/tests/relay_directory_test.cpp
@@ -19,6 +19,7 @@
            PeerAddress(aInstance + ":1"),
            aDataCentre,
            10,
+           {},
            aRevision };
 }
 
