Keep a connection open to each shard, and do not hedge what is slow here

Cause: an instance of 295 gets a request in 6 s.

Hedges of a gather wait while more than half of its shards are pending. The keep-alive time that a target has stated holds for its new connections too.

The test of hedges of two shards keeps: with fewer than 10 shards the share that is pending says little.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -90,7 +90,11 @@
 void
 HttpTargetLink::KeepIdle(const TargetName& aTarget, const ConnectionPtr& aConnection)
 {
-  const Micros keepAlive = aConnection->KeepAliveTime().value_or(kDefaultKeepAlive);
+  if (aConnection->KeepAliveTime()) {
+    keepAliveTimes_[aTarget] = *aConnection->KeepAliveTime();
+  }
+  auto stated = keepAliveTimes_.find(aTarget);
+  const Micros keepAlive = stated == keepAliveTimes_.end() ? kDefaultKeepAlive : stated->second;
   aConnection->SetOnClosed([this, aTarget, raw = aConnection.get()] {
     auto found = idle_.find(aTarget);
     if (found != idle_.end()) {
@@ -266,9 +270,21 @@
   return found != idle_.end() && !found->second.empty() && timers_.Now() < found->second.back().usableUntil_;
 }
 
+/// A connection for a call that was abandoned before it was sent is kept for the next call.
+void
+HttpTargetLink::OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress)
+{
+  lastId_ = lastId_.Next();
+  Call& call = calls_[lastId_];
+  call.call_.target_ = aTarget;
+  call.call_.address_ = aAddress;
+  OpenFor(lastId_, call);
+}
+
 void
 HttpTargetLink::Forget(const TargetName& aTarget)
 {
+  keepAliveTimes_.erase(aTarget);
   auto found = idle_.find(aTarget);
   if (found == idle_.end()) {
     return;
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -22,6 +22,7 @@
   CallId Send(const TargetCall& aCall, Callback aCallback) override;
   void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) override;
   bool HasIdleConnection(const TargetName& aTarget) const override;
+  void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) override;
   void Forget(const TargetName& aTarget) override;
 
   uint64_t ConnectionsOpened() const { return connectionsOpened_; }
@@ -65,6 +66,8 @@
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<TargetName, std::vector<IdleConnection>> idle_;
   CallId lastId_;
+  /// Keep-alive times that targets have stated.
+  std::unordered_map<TargetName, Micros> keepAliveTimes_;
   uint64_t connectionsOpened_ = 0;
 };
 
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -60,6 +60,8 @@
   virtual void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) = 0;
   /// Whether a call to the target would use a connection that is open already.
   virtual bool HasIdleConnection(const TargetName& aTarget) const = 0;
+  /// Opens a connection for a later call. Without success nothing happens.
+  virtual void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) = 0;
   /// Closes the idle connections to a target that is gone.
   virtual void Forget(const TargetName& aTarget) = 0;
 };
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -50,6 +50,7 @@
   , latestRate_(kLatestRateTime)
   , usualRate_(kUsualRateTime)
   , context_(MakeRoutingContext(settings_, aTimers, aRandom, aLink, targets_, pools_, aLog))
+  , warmer_(aTimers, aRandom, aLink, targets_, settings_.dataCentre_)
 {
 }
 
@@ -67,6 +68,7 @@
     return;
   }
   table_ = std::move(aTable);
+  warmer_.SetRoutes(*table_);
   ApplyConnectionLimits();
 }
 
@@ -96,6 +98,7 @@
     return;
   }
   instances_ = count;
+  warmer_.SetInstanceCount(count);
   ApplyBudgets();
   ApplyConnectionLimits();
 }
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_PROCESS_ROUTER_H
 #define IBISROCK_PROCESS_ROUTER_H
 
+#include "process/connection_warmer.h"
 #include "process/request_rate.h"
 #include "process/router_log.h"
 #include "process/routing_context.h"
@@ -101,6 +102,7 @@
   ::ibisrock::RequestRate usualRate_;
   PerSecond fleetRate_;
   RoutingContext context_;
+  ConnectionWarmer warmer_;
   std::shared_ptr<const RouteTable> table_;
   bool hasTargets_ = false;
   bool discoveryCurrent_ = false;
--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -13,6 +13,14 @@
 /// Absorbs floating-point error, so that a coverage of 0.6 of 5 shards requires 3 shards and not 4.
 constexpr double kRoundingTolerance = 1e-9;
 
+/// If a larger share of the shards has not replied at the hedge delay, this instance or its links are slow and not the
+/// targets. Hedges would add to the load then, so they wait until other shards have replied.
+constexpr double kMaxHedgedShare = 0.5;
+/// With fewer shards the share that is pending says little.
+constexpr size_t kMinShardsForShare = 10;
+/// Time until the next check, as a share of the time since the request.
+constexpr double kHedgeRecheckShare = 0.25;
+
 } // namespace
 
 GatherRun::GatherRun(const Plan& aPlan, EndCallback aOnEnd)
@@ -82,6 +90,12 @@
 void
 GatherRun::OnHedgeDelay()
 {
+  const TimePoint now = scope_.context_.timers_.Now();
+  if (calls_.size() >= kMinShardsForShare &&
+      now<timing_.cutoff_&& static_cast<double>(pending_)> kMaxHedgedShare * static_cast<double>(calls_.size())) {
+    PostponeHedges(Scale(now - scope_.request_->receivedAt_, kHedgeRecheckShare));
+    return;
+  }
   for (const auto& call : calls_) {
     if (call->IsPending()) {
       call->Hedge();
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -150,6 +150,12 @@
   timers_.push_back(timers.After(aTime - timers.Now(), [this, aHandler] { (this->*aHandler)(); }));
 }
 
+void
+RoutedRun::PostponeHedges(Micros aDelay)
+{
+  ScheduleAt(scope_.context_.timers_.Now() + aDelay, &RoutedRun::OnHedgeDelay);
+}
+
 void
 RoutedRun::CancelTimers()
 {
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -64,6 +64,8 @@
   static constexpr Micros kRetryAfterNoTarget = Millis(300);
 
   virtual void OnHedgeDelay() = 0;
+  /// Calls OnHedgeDelay once more.
+  void PostponeHedges(Micros aDelay);
   virtual void OnCutoff() = 0;
   virtual void OnDeadline() = 0;
   virtual std::vector<std::unique_ptr<PoolCall>>& Calls() = 0;
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -51,6 +51,12 @@
 
   bool HasIdleConnection(const TargetName& aTarget) const override { return connected_.contains(aTarget.Value()); }
 
+  void OpenIdleConnection(const TargetName& aTarget, const TargetAddress&) override
+  {
+    connected_.insert(aTarget.Value());
+    opened_.push_back(aTarget.Value());
+  }
+
   void Forget(const TargetName& aTarget) override { forgotten_.push_back(aTarget.Value()); }
 
   /// Ends call number aIndex; of an abandoned one only its connection becomes free.
@@ -78,6 +84,8 @@
   }
 
   std::vector<Sent> sent_;
+  /// Names of the targets to which idle connections were opened, in order.
+  std::vector<std::string> opened_;
   std::vector<std::string> forgotten_;
   /// Targets with an idle connection.
   std::set<std::string> connected_;
