Close connections on which a target sends without end

Cause: the parser bounds a head and a body, but not interim replies, the extension of a chunk, trailers and replies to other requests; bodies were bounded by 16 MiB, more than all shards of a gather may use together. A chunk extension was kept and parsed again with each read.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Replies of targets are a few kilobytes; lists of the platform reach a megabyte.
-constexpr uint64_t kLargestBody = 16 << 20;
 constexpr uint32_t kLargestHeader = 64 << 10;
 
 /// Reads "timeout=5" of a Keep-Alive field.
@@ -49,13 +47,14 @@
 }
 
 std::shared_ptr<LoopHttpConnection>
-LoopHttpConnection::Create(asio::io_context& aLoop)
+LoopHttpConnection::Create(asio::io_context& aLoop, size_t aMaxReply)
 {
-  return std::make_shared<LoopHttpConnection>(aLoop);
+  return std::make_shared<LoopHttpConnection>(aLoop, aMaxReply);
 }
 
-LoopHttpConnection::LoopHttpConnection(asio::io_context& aLoop)
+LoopHttpConnection::LoopHttpConnection(asio::io_context& aLoop, size_t aMaxReply)
   : loop_(aLoop)
+  , maxReply_(aMaxReply)
   , socket_(aLoop)
 {
 }
@@ -97,6 +96,7 @@
   onReply_ = std::move(aOnReply);
   expectsNoBody_ = request_.expectsNoBody_;
   sent_ = true;
+  received_ = 0;
   reusable_ = false;
   NewParser();
   static const std::string kEmpty;
@@ -114,7 +114,7 @@
 {
   parser_.emplace();
   parser_->eager(true);
-  parser_->body_limit(kLargestBody);
+  parser_->body_limit(maxReply_);
   parser_->header_limit(kLargestHeader);
   parser_->skip(expectsNoBody_);
 }
@@ -137,7 +137,7 @@
 {
   auto self = shared_from_this();
   if (!aError) {
-    Consume({ readBuffer_.data(), aCount });
+    Take({ readBuffer_.data(), aCount });
     if (open_ && aCount == readBuffer_.size()) {
       ReadRest();
     }
@@ -165,10 +165,23 @@
       OnEndOfStream(error == asio::error::eof ? "" : error.message());
       return;
     }
-    Consume({ buffer.data(), count });
+    Take({ buffer.data(), count });
   }
 }
 
+/// Bounds what a server in trouble may send without end, for example interim replies or the extension of a chunk, for
+/// which the parser has no limit.
+void
+LoopHttpConnection::Take(std::string_view aBytes)
+{
+  received_ += aBytes.size();
+  if (received_ > maxReply_ + kLargestHeader) {
+    Fail("the server sends too much");
+    return;
+  }
+  Consume(aBytes);
+}
+
 void
 LoopHttpConnection::Consume(std::string_view aBytes)
 {
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -57,8 +57,13 @@
   using BelongsToRequest = std::function<bool(const ServerReply&)>;
   using OnClosed = std::function<void()>;
 
-  static std::shared_ptr<LoopHttpConnection> Create(boost::asio::io_context& aLoop);
-  explicit LoopHttpConnection(boost::asio::io_context& aLoop);
+  /// Bytes that may arrive for one request, with interim replies and replies to other requests. A list of the platform
+  /// has up to a megabyte a page, and a list of a relay has all objects.
+  static constexpr size_t kMaxReply = 16 << 20;
+
+  /// The connection is closed when more than aMaxReply bytes arrive for one request.
+  static std::shared_ptr<LoopHttpConnection> Create(boost::asio::io_context& aLoop, size_t aMaxReply = kMaxReply);
+  LoopHttpConnection(boost::asio::io_context& aLoop, size_t aMaxReply);
 
   void Connect(const SocketAddress& aAddress, OnConnected aOnConnected);
   /// Sends a request. The connection must be connected and idle.
@@ -82,6 +87,7 @@
   void ReadSome();
   void OnRead(const boost::system::error_code& aError, size_t aCount);
   void ReadRest();
+  void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
   void OnEndOfStream(const std::string& aWhy);
   void OnParsed();
@@ -90,6 +96,9 @@
   void Fail(const std::string& aWhy);
 
   boost::asio::io_context& loop_;
+  const size_t maxReply_;
+  /// Bytes that have arrived since the request.
+  size_t received_ = 0;
   boost::asio::ip::tcp::socket socket_;
   bool open_ = false;
   bool reusable_ = false;
--- a/tests/target_link_test.cpp
+++ b/tests/target_link_test.cpp
@@ -270,5 +270,122 @@
                   ReuseCase{ "AsksToClose", Reply("200", std::string(kOwn) + "Connection: close\r\n", "first"), 2 }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// A target that answers a request with a prefix and then with the same bytes again and again, until the other end
+/// closes.
+class EndlessTarget
+{
+public:
+  EndlessTarget(asio::io_context& aLoop, std::string aPrefix, std::string aRepeated)
+    : acceptor_(aLoop, { asio::ip::make_address("127.0.0.1"), 0 })
+    , socket_(aLoop)
+    , prefix_(std::move(aPrefix))
+  {
+    constexpr size_t kBlock = 16 << 10;
+    while (block_.size() < kBlock) {
+      block_ += aRepeated;
+    }
+    acceptor_.async_accept(socket_, [this](const boost::system::error_code& aError) {
+      if (!aError) {
+        asio::async_write(socket_, asio::buffer(prefix_), [this](const auto& aFailure, size_t) { SendOn(aFailure); });
+      }
+    });
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+  size_t sent_ = 0;
+  bool isClosed_ = false;
+
+private:
+  void SendOn(const boost::system::error_code& aError)
+  {
+    isClosed_ = static_cast<bool>(aError);
+    if (isClosed_) {
+      return;
+    }
+    asio::async_write(socket_, asio::buffer(block_), [this](const auto& aFailure, size_t aCount) {
+      sent_ += aCount;
+      SendOn(aFailure);
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  const std::string prefix_;
+  std::string block_;
+};
+
+struct EndlessCase
+{
+  const char* name_;
+  std::string prefix_;
+  std::string repeated_;
+};
+
+class EndlessBytes : public testing::TestWithParam<EndlessCase>
+{};
+
+/// Guards against an instance that runs out of memory, or serves nobody else, while a target in trouble sends bytes
+/// without end: the connection is closed after a bounded number of bytes, and the request may have run.
+TEST_P(EndlessBytes, EndTheCallAndItsConnection)
+{
+  // The limit of a reply is 512 KiB; the rest may wait in the buffers of the two sockets.
+  constexpr size_t kMaxSent = 8 << 20;
+  constexpr Micros kMaxTime = Seconds(5);
+  asio::io_context loop{ 1 };
+  LoopTimerService timers(loop);
+  HttpTargetLink link(loop, timers, HeaderNames());
+  EndlessTarget target(loop, GetParam().prefix_, GetParam().repeated_);
+  auto request = std::make_shared<CallerRequest>();
+  request->method_ = "GET";
+  request->target_ = "/a";
+  request->host_ = "h";
+  request->id_ = "r1";
+  std::optional<TargetOutcome> outcome;
+  link.Send({ TargetName("t"), TargetAddress(target.Address()), request, Seconds(2) },
+            [&](TargetOutcome aOutcome) { outcome = std::move(aOutcome); });
+  const TimePoint end = timers.Now() + kMaxTime;
+  while (!(outcome && target.isClosed_) && target.sent_ <= kMaxSent && timers.Now() < end) {
+    loop.run_one_for(std::chrono::milliseconds(10));
+  }
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->verdict_, Verdict::MayHaveRun);
+  EXPECT_TRUE(target.isClosed_);
+  EXPECT_LE(target.sent_, kMaxSent);
+  EXPECT_FALSE(link.HasIdleConnection(TargetName("t")));
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nIbisrock-Request-Id: r1\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  TargetLink,
+  EndlessBytes,
+  testing::Values(
+    EndlessCase{ "Head", "HTTP/1.1 200 OK\r\n", "X-More: abcdefgh\r\n" },
+    EndlessCase{ "HeaderField", "HTTP/1.1 200 OK\r\nX-More: ", "a" },
+    EndlessCase{ "BodyWithoutLength", kOk + "\r\n", "0123456789abcdef" },
+    EndlessCase{ "BodyWithHugeLength", kOk + "Content-Length: 9000000000\r\n\r\n", "0123456789abcdef" },
+    EndlessCase{ "Chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n" },
+    EndlessCase{ "ChunkExtension", kOk + "Transfer-Encoding: chunked\r\n\r\n4;x=", "a" },
+    EndlessCase{ "Trailer", kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: a\r\n" },
+    EndlessCase{ "InterimReplies", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    EndlessCase{ "RepliesToOthers", "", "HTTP/1.1 200 OK\r\nIbisrock-Request-Id: r0\r\nContent-Length: 2\r\n\r\nok" },
+    EndlessCase{ "NoHttp", "", "garbage " }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against a first request that must set up its connections although they could have been open before.
+TEST(TargetLink, IdleConnectionServesTheNextCall)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false } });
+  fixture.link_.OpenIdleConnection(TargetName("t"), TargetAddress(target.Address()));
+  for (int i = 0; i < 100 && !fixture.link_.HasIdleConnection(TargetName("t")); i++) {
+    fixture.loop_.run_one_for(std::chrono::milliseconds(10));
+  }
+  ASSERT_TRUE(fixture.link_.HasIdleConnection(TargetName("t")));
+  EXPECT_EQ(fixture.Call(target.Address()).status_, 200U);
+  EXPECT_EQ(target.connections_, 1U);
+}
+
 } // namespace
 } // namespace ibisrock::adapters
