Distrust a success without id from a target that echoes ids

Here it could happen if the copy bore no id: replies without one were taken as the answer to the request that waited.

A success without id from a target that has echoed ids now ends the call (it may have run) and its connection. Refusals without id are taken as before, because a target may refuse a request before it reads the id.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -197,12 +197,29 @@
     End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
     return;
   }
+  if (IsIdMissing(call.call_.target_, *aReply)) {
+    call.connection_->Close();
+    End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
+    return;
+  }
   if (call.connection_->CanBeReused()) {
     KeepIdle(call.call_.target_, call.connection_);
   }
   End(aId, Judge(std::move(*aReply)));
 }
 
+/// Whether a success lacks the id although the target echoes ids. It may be a late copy of an earlier answer. A refusal
+/// may come before the target has read the id.
+bool
+HttpTargetLink::IsIdMissing(const TargetName& aTarget, const ServerReply& aReply)
+{
+  if (!aReply.Field(names_.requestId_).empty()) {
+    echoing_.insert(aTarget);
+    return false;
+  }
+  return aReply.status_ / 100 == 2 && echoing_.contains(aTarget);
+}
+
 /// What a complete reply says of the request.
 TargetOutcome
 HttpTargetLink::Judge(ServerReply aReply) const
@@ -288,6 +305,7 @@
 HttpTargetLink::Forget(const TargetName& aTarget)
 {
   keepAliveTimes_.erase(aTarget);
+  echoing_.erase(aTarget);
   auto found = idle_.find(aTarget);
   if (found == idle_.end()) {
     return;
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace ibisrock::adapters {
@@ -56,6 +57,7 @@
   void OnConnectTimeout(CallId aId);
   void Write(CallId aId, Call& aCall);
   void OnReply(CallId aId, std::optional<ServerReply> aReply);
+  bool IsIdMissing(const TargetName& aTarget, const ServerReply& aReply);
   void End(CallId aId, TargetOutcome aOutcome);
   RequestText MakeRequest(const Call& aCall) const;
   TargetOutcome Judge(ServerReply aReply) const;
@@ -66,6 +68,8 @@
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<TargetName, std::vector<IdleConnection>> idle_;
   CallId lastId_;
+  /// Targets that have echoed the id of a request.
+  std::unordered_set<TargetName> echoing_;
   /// Keep-alive times that targets have stated.
   std::unordered_map<TargetName, Micros> keepAliveTimes_;
   uint64_t connectionsOpened_ = 0;
--- a/tests/target_link_test.cpp
+++ b/tests/target_link_test.cpp
@@ -270,6 +270,35 @@
                   ReuseCase{ "AsksToClose", Reply("200", std::string(kOwn) + "Connection: close\r\n", "first"), 2 }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// Guards against a late second copy of an answer that bears no id, on a connection that is in use again: the next
+/// caller would get an answer that is not its own. The target has echoed ids before, so a success without one is not
+/// trusted; the request may have run, and the connection is closed.
+TEST(TargetLink, SuccessWithoutIdFromTargetThatEchoesIdsIsNoAnswer)
+{
+  LinkFixture fixture;
+  const std::string copy = Reply("200", "Ibisrock-Stamp: s\r\n", "first");
+  ScriptedTarget target(fixture.loop_,
+                        { { Reply("200", kOwn, "first") },
+                          { copy + Reply("200", kOwn, "second") },
+                          { Reply("200", kOwn, "third") } });
+  fixture.Call(target.Address());
+  const TargetOutcome outcome = fixture.Call(target.Address());
+  EXPECT_EQ(outcome.verdict_, Verdict::MayHaveRun);
+  EXPECT_FALSE(outcome.body_);
+  EXPECT_EQ(*fixture.Call(target.Address()).body_, "third");
+  EXPECT_EQ(target.connections_, 2U);
+}
+
+/// Guards against refusals that are lost because they bear no id: a target may refuse a request before it reads the id.
+TEST(TargetLink, RefusalWithoutIdIsTaken)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_,
+                        { { Reply("200", kOwn, "first") }, { Reply("503", "Ibisrock-Not-Run: 1\r\n", "") } });
+  fixture.Call(target.Address());
+  EXPECT_EQ(fixture.Call(target.Address()).verdict_, Verdict::NotRun);
+}
+
 /// A target that answers a request with a prefix and then with the same bytes again and again, until the other end
 /// closes.
 class EndlessTarget
