Let a relay that stood still list again before it tells others

A relay whose machine was suspended would have told a restarted instance of targets that left during the pause, for up to its pause between two watches, because the steady clock does not count suspended time.

SuspendedRelayIsNotCurrentUntilItHasListed guards it; without the detector the relay stays current with the old target.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -133,7 +133,13 @@
     discovery_.emplace(loop_,
                        timers_,
                        random_,
-                       Discovery::Settings{ { "127.0.0.1", store_->Port() }, "entry-1", "z", { "127.0.0.1", 0 } },
+                       Discovery::Settings{ { "127.0.0.1", store_->Port() },
+                                            "entry-1",
+                                            "z",
+                                            { "127.0.0.1", 0 },
+                                            {},
+                                            {},
+                                            [this] { return timers_.Now().time_since_epoch(); } },
                        router_,
                        log_,
                        [] {});
@@ -241,12 +247,16 @@
     store_->Put("config", "main", Configuration(1, json::object()));
     // Registered before a restart, so that it uses the store at once.
     const RelaySlot slot{
-      RelaySlotName("z.0"), InstanceId("entry-1"), PeerAddress("127.0.0.1:1"), DataCentre("z"), 1, 0
+      RelaySlotName("z.0"), InstanceId("entry-1"), PeerAddress("127.0.0.1:1"), DataCentre("z"), 1, {}, 0
     };
     store_->Put(RelayRegistration::kKind, slot.name_.Value(), RelayRegistration::Encode(slot)["spec"]);
-    const Discovery::Settings settings{
-      { "127.0.0.1", store_->Port() }, "entry-1", "z", { "127.0.0.1", 0 }, aApplyTime, aLeaveTime
-    };
+    const Discovery::Settings settings{ { "127.0.0.1", store_->Port() },
+                                        "entry-1",
+                                        "z",
+                                        { "127.0.0.1", 0 },
+                                        aApplyTime,
+                                        aLeaveTime,
+                                        [this] { return timers_.Now().time_since_epoch(); } };
     discovery_.emplace(loop_, timers_, random_, settings, router_, log_, [] {});
     EXPECT_TRUE(discovery_->Start(reason)) << reason.Text();
   }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -48,6 +48,8 @@
     size_t storePort_ = 0;
     /// Cut off from the store and from all instances that follow it.
     bool isIsolated_ = false;
+    /// Time in which its machine was suspended.
+    Micros suspended_{};
     tests::FakeTargetLink link_;
     std::unique_ptr<Router> router_;
     std::unique_ptr<Discovery> discovery_;
@@ -72,9 +74,15 @@
   void StartInstance(Node& aNode)
   {
     aNode.router_ = std::make_unique<Router>(RouterSettings(), timers_, random_, aNode.link_, nullptr);
-    const Discovery::Settings settings{
-      { "127.0.0.1", store_->ExtraPort(aNode.storePort_) }, aNode.name_, "z", { "127.0.0.1", 0 }, kApplyTime, kLeaveTime
-    };
+    const Discovery::Settings settings{ { "127.0.0.1", store_->ExtraPort(aNode.storePort_) },
+                                        aNode.name_,
+                                        "z",
+                                        { "127.0.0.1", 0 },
+                                        kApplyTime,
+                                        kLeaveTime,
+                                        [this, &aNode] {
+                                          return timers_.Now().time_since_epoch() + aNode.suspended_;
+                                        } };
     aNode.discovery_ = std::make_unique<Discovery>(loop_, timers_, random_, settings, *aNode.router_, log_, [] {});
     LastReason reason;
     EXPECT_TRUE(aNode.discovery_->Start(reason)) << reason.Text();
@@ -336,6 +344,25 @@
   }
 }
 
+/// Guards against a relay that was suspended and passes on what it knew before, for example a target that has left
+/// meanwhile: it says that it is not current at once, before any of its timers has run, and lists again.
+TEST(Relay, SuspendedRelayIsNotCurrentUntilItHasListed)
+{
+  RelayFleet fleet(1);
+  RelayFleet::Node& relay = *fleet.nodes_[0];
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return relay.discovery_->IsCurrentRelay(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  // Begins the pause between two watches, in which the relay hears nothing of the store.
+  fleet.store_->Put("servers", "t3", TargetSpec());
+  fleet.Advance(Millis(100));
+  fleet.store_->Delete("servers", "t1");
+  relay.suspended_ = Seconds(5);
+  EXPECT_FALSE(relay.discovery_->IsCurrentRelay());
+  EXPECT_EQ(relay.router_->TargetCount(), 3U);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return relay.discovery_->IsCurrentRelay(); }, Millis(1500)));
+  EXPECT_EQ(relay.router_->TargetCount(), 2U);
+}
+
 /// Guards against targets that are dropped everywhere because their entries lapsed while the store was away, and
 /// against instances that all list from the store on its return.
 TEST(Relay, LapsedTargetsStayInUseAfterOutage)
