--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -124,7 +124,14 @@
   impl_->SetGauge("ibisrock_requests_in_flight", "Requests without an answer", toDouble(aState.requestsInFlight_));
   impl_->SetGauge("ibisrock_connections_opened", "Connections opened to targets", toDouble(aState.connectionsOpened_));
   impl_->SetGauge("ibisrock_store_calls", "Calls to the platform's store", toDouble(aState.storeCalls_));
-  impl_->SetGauge("ibisrock_store_in_contact", "1 while the store answers", toDouble(aState.storeInContact_));
+  impl_->SetGauge("ibisrock_store_in_contact",
+                  "1 while changes are received from the store or from a relay",
+                  toDouble(aState.storeInContact_));
+  impl_->SetGauge(
+    "ibisrock_relay", "1 while this instance watches the store and others may use it", toDouble(aState.isRelay_));
+  impl_->SetGauge("ibisrock_relay_subscribers",
+                  "Instances that use this one as their relay",
+                  static_cast<double>(aState.relaySubscribers_));
   impl_->SetGauge("ibisrock_ready", "1 while the instance is ready", toDouble(aState.isReady_));
   return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -18,6 +18,9 @@
   uint64_t connectionsOpened_ = 0;
   uint64_t storeCalls_ = 0;
   bool storeInContact_ = false;
+  /// Whether this instance watches the store and others may use it as their relay.
+  bool isRelay_ = false;
+  size_t relaySubscribers_ = 0;
   bool isReady_ = false;
 };
 
