--- a/tests/target_link_test.cpp
+++ b/tests/target_link_test.cpp
@@ -277,10 +277,9 @@
 {
   LinkFixture fixture;
   const std::string copy = Reply("200", "Ibisrock-Stamp: s\r\n", "first");
-  ScriptedTarget target(fixture.loop_,
-                        { { Reply("200", kOwn, "first") },
-                          { copy + Reply("200", kOwn, "second") },
-                          { Reply("200", kOwn, "third") } });
+  ScriptedTarget target(
+    fixture.loop_,
+    { { Reply("200", kOwn, "first") }, { copy + Reply("200", kOwn, "second") }, { Reply("200", kOwn, "third") } });
   fixture.Call(target.Address());
   const TargetOutcome outcome = fixture.Call(target.Address());
   EXPECT_EQ(outcome.verdict_, Verdict::MayHaveRun);
@@ -304,7 +303,7 @@
 class EndlessTarget
 {
 public:
-  EndlessTarget(asio::io_context& aLoop, std::string aPrefix, std::string aRepeated)
+  EndlessTarget(asio::io_context& aLoop, std::string aPrefix, const std::string& aRepeated)
     : acceptor_(aLoop, { asio::ip::make_address("127.0.0.1"), 0 })
     , socket_(aLoop)
     , prefix_(std::move(aPrefix))
