--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -14,8 +14,8 @@
 /// Part of the keep-alive time of a target after which a connection is not used any more, so that a request does not
 /// cross the target's close.
 constexpr double kKeepAliveShare = 0.7;
-/// A reply of a target has some kilobytes. All shards of a gather together stay within the memory of an instance even if
-/// their targets send without end.
+/// A reply of a target has some kilobytes. All shards of a gather together stay within the memory of an instance even
+/// if their targets send without end.
 constexpr size_t kMaxReply = 512 << 10;
 /// Keep-alive time of targets that state none.
 constexpr Micros kDefaultKeepAlive = Seconds(20);
