--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -386,6 +386,22 @@
   EXPECT_TRUE(fleet.All([](auto& aNode) { return aNode.router_->TargetCount() == 2; }));
 }
 
+/// Guards against a relay that ends because another program asks with bytes that are no text.
+TEST(Relay, StateRequestWithInvalidTextIsAnswered)
+{
+  RelayFleet fleet(1);
+  RelayFleet::Node& relay = *fleet.nodes_[0];
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return relay.discovery_->IsCurrentRelay(); }, Seconds(5)));
+  // Vacancies are offered some seconds after the start; the name of one holds the data centre.
+  fleet.Advance(Seconds(10));
+  StoreChannel channel(fleet.loop_, fleet.timers_, { "127.0.0.1", relay.discovery_->PeerPort() });
+  std::optional<StoreAnswer> answer;
+  channel.Call("GET", "/-/relay?instance=x&dataCentre=\xff\xfe", nullptr, Seconds(1), [&](const StoreAnswer& aAnswer) {
+    answer = aAnswer;
+  });
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return answer.has_value(); }, Seconds(2)));
+}
+
 struct PeerBytesCase
 {
   const char* name_;
