--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -174,7 +174,9 @@
     return;
   }
   ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extraBudget_;
-  if (!budget.TryTake(kTokenShareForRetries * budget.MaxTokens())) {
+  // A full budget always allows a hedge, also if it holds little more than one token.
+  const double reserve = std::min(kTokenShareForRetries * budget.MaxTokens(), std::max(budget.MaxTokens() - 1, 0.0));
+  if (!budget.TryTake(reserve)) {
     return;
   }
   if (!TrySend(true)) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -46,6 +46,8 @@
   {
     std::string name_;
     size_t storePort_ = 0;
+    /// Kept over restarts, as on a machine.
+    uint16_t peerPort_ = 0;
     /// Cut off from the store and from all instances that follow it.
     bool isIsolated_ = false;
     /// Time in which its machine was suspended.
@@ -77,7 +79,7 @@
     const Discovery::Settings settings{ { "127.0.0.1", store_->ExtraPort(aNode.storePort_) },
                                         aNode.name_,
                                         "z",
-                                        { "127.0.0.1", 0 },
+                                        { "127.0.0.1", aNode.peerPort_ },
                                         kApplyTime,
                                         kLeaveTime,
                                         [this, &aNode] {
@@ -86,6 +88,7 @@
     aNode.discovery_ = std::make_unique<Discovery>(loop_, timers_, random_, settings, *aNode.router_, log_, [] {});
     LastReason reason;
     EXPECT_TRUE(aNode.discovery_->Start(reason)) << reason.Text();
+    aNode.peerPort_ = aNode.discovery_->PeerPort();
   }
 
   /// SIGKILL: the instance vanishes, and its registration stays.
@@ -363,6 +366,19 @@
   EXPECT_EQ(relay.router_->TargetCount(), 2U);
 }
 
+/// Guards against a fleet that serves nobody for long after all its instances were killed: the relays of before are
+/// registered still, and the others wait for them.
+TEST(Relay, FleetIsReadySoonAfterRestart)
+{
+  RelayFleet fleet(10);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  RestartAll(fleet);
+  EXPECT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(1)));
+  fleet.Advance(Seconds(5));
+  EXPECT_EQ(fleet.Living(Discovery::Source::Store).size(), RelayDirectory::kRelaysPerDataCentre);
+}
+
 /// Guards against targets that are dropped everywhere because their entries lapsed while the store was away, and
 /// against instances that all list from the store on its return.
 TEST(Relay, LapsedTargetsStayInUseAfterOutage)
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -134,6 +134,19 @@
   EXPECT_EQ(fixture.link_.sent_.size(), 4U);
 }
 
+/// Guards against a fleet that does not hedge at all because instances are counted twice for a while, after they have
+/// changed their relay: with 145 instances each may save 1.02 of the 198 tokens, and a full budget allows a hedge.
+TEST(Router, HedgesWithLittleMoreThanOneToken)
+{
+  RouterFixture fixture({ InstanceId("entry-1"), DataCentre("dc-a"), { Millis(3), 0.2, 198 } });
+  fixture.SetRoutes({ RouterFixture::GatherRoute(2, 1.0) });
+  fixture.SetShardTargets(2, 3);
+  fixture.router_.SetInstanceCount(145);
+  fixture.Submit("/gather/x");
+  fixture.timers_.Advance(Millis(60));
+  EXPECT_EQ(fixture.link_.sent_.size(), 4U);
+}
+
 /// Guards against missing the objective by waiting for a shard when enough other shards have replied.
 TEST(Router, AnswersWithoutASilentShardBeforeTheObjectivePasses)
 {
