Show that one entry that is no text stops discovery

Cause: the whole answer of the store is refused when a text in one of its entries cannot be read, and a new search begins at once and ends the same way.

--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -34,12 +34,6 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
-std::string
-JsonResponse(int aStatus, const json& aBody)
-{
-  return FormatResponse(aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
-}
-
 } // namespace
 
 Store::Store(const Address& aAddress)
@@ -58,13 +52,28 @@
   }
 }
 
+/// Needs the lock.
+std::string
+Store::Respond(int aStatus, const json& aBody) const
+{
+  std::string body = aBody.dump();
+  for (const auto& [mark, text] : texts_) {
+    for (size_t at = body.find(mark); at != std::string::npos; at = body.find(mark, at + text.size())) {
+      body.replace(at, mark.size(), text);
+    }
+  }
+  return FormatResponse(aStatus, { { "Content-Type", "application/json" } }, body);
+}
+
 std::string
 Store::Answer(const Message& aRequest)
 {
+  calls_++;
   const std::string target = aRequest.Target();
   const std::string path = target.substr(0, target.find('?'));
   if (!path.starts_with(kRoot)) {
-    return JsonResponse(404, json::object());
+    const std::lock_guard lock(mutex_);
+    return Respond(404, json::object());
   }
   const std::string rest = path.substr(kRoot.size());
   const std::string kind = rest.substr(0, rest.find('/'));
@@ -84,7 +93,7 @@
   const std::lock_guard lock(mutex_);
   const auto& objects = objects_[kind];
   const auto found = objects.find(name);
-  return found == objects.end() ? JsonResponse(404, json::object()) : JsonResponse(200, found->second);
+  return found == objects.end() ? Respond(404, json::object()) : Respond(200, found->second);
 }
 
 std::string
@@ -98,7 +107,7 @@
   for (; next != objects.end() && items.size() < kPageSize; ++next) {
     items.push_back(next->second);
   }
-  return JsonResponse(200, { { "items", items }, { "hasMore", next != objects.end() }, { "asOf", revision_ } });
+  return Respond(200, { { "items", items }, { "hasMore", next != objects.end() }, { "asOf", revision_ } });
 }
 
 json
@@ -122,7 +131,7 @@
     events = EventsAfter(aKind, aFrom);
     return !events.empty();
   });
-  return JsonResponse(200, { { "events", events }, { "asOf", revision_ } });
+  return Respond(200, { { "events", events }, { "asOf", revision_ } });
 }
 
 std::string
@@ -140,17 +149,17 @@
   const auto found = objects.find(aName);
   const bool exists = found != objects.end();
   if (method == "POST" ? exists : exists && condition > 0 && found->second["meta"]["revision"] != condition) {
-    return JsonResponse(409, found->second);
+    return Respond(409, found->second);
   }
   if (method != "POST" && !exists) {
-    return JsonResponse(404, json::object());
+    return Respond(404, json::object());
   }
   if (method == "DELETE") {
     DeleteLocked(aKind, aName);
-    return JsonResponse(200, json::object());
+    return Respond(200, json::object());
   }
   PutLocked(aKind, aName, body.value("spec", json()));
-  return JsonResponse(200, objects[aName]);
+  return Respond(200, objects[aName]);
 }
 
 void
@@ -198,11 +207,13 @@
   DeleteLocked(aKind, aName);
 }
 
-size_t
-Store::Count(const std::string& aKind)
+void
+Store::PutText(const std::string& aKind, const std::string& aName, const std::string& aSpec)
 {
   const std::lock_guard lock(mutex_);
-  return objects_[aKind].size();
+  const std::string mark = "text of " + aName;
+  texts_['"' + mark + '"'] = aSpec;
+  PutLocked(aKind, aName, mark);
 }
 
 } // namespace review
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -19,7 +19,10 @@
   /// Writes as the operator or a replica does. Returns after the write is confirmed.
   void Put(const std::string& aKind, const std::string& aName, const nlohmann::json& aSpec);
   void Delete(const std::string& aKind, const std::string& aName);
-  size_t Count(const std::string& aKind);
+  /// Writes a spec as another writer sent it, which need not be readable text.
+  void PutText(const std::string& aKind, const std::string& aName, const std::string& aSpec);
+  /// Number of calls so far.
+  uint64_t CallCount() const { return calls_; }
 
   /// The address at which an instance reaches the store.
   const Address& At() const { return address_; }
@@ -35,6 +38,7 @@
 
   void Serve(Connection& aConnection);
   std::string Answer(const Message& aRequest);
+  std::string Respond(int aStatus, const nlohmann::json& aBody) const;
   std::string Watch(const std::string& aKind, uint64_t aFrom, double aWait);
   std::string List(const std::string& aKind, const std::string& aAfter);
   std::string Write(const Message& aRequest, const std::string& aKind, std::string aName, uint64_t aRevision);
@@ -48,6 +52,9 @@
   std::condition_variable changed_;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
   std::deque<Change> history_;
+  /// Specs of PutText, by the text that stands for them in an object.
+  std::map<std::string, std::string> texts_;
+  std::atomic<uint64_t> calls_ = 0;
   uint64_t revision_ = 100;
   Listener listener_;
 };
