--- a/review/standin/proxy.cpp
+++ b/review/standin/proxy.cpp
@@ -39,6 +39,10 @@
     if (count <= 0) {
       break;
     }
+    if (!watchedText_.empty() &&
+        std::string_view(bytes.data(), static_cast<size_t>(count)).find(watchedText_) != std::string_view::npos) {
+      lastSeen_ = Now();
+    }
     if (!aFlow.isSilent_ && !aTo.Send({ bytes.data(), static_cast<size_t>(count) })) {
       break;
     }
--- a/review/standin/proxy.h
+++ b/review/standin/proxy.h
@@ -11,6 +11,11 @@
 public:
   Proxy(const Address& aAddress, Address aUpstream);
 
+  /// Must be called before connections come: notes when requests with this text pass.
+  void WatchFor(std::string aText) { watchedText_ = std::move(aText); }
+  /// When the text was last seen, or 0.
+  double LastSeen() const { return lastSeen_; }
+
   /// From now on the open connections carry nothing, in both directions, and stay open. Returns their number.
   int SilenceOpenConnections();
 
@@ -22,9 +27,11 @@
   };
 
   void Serve(Connection& aConnection);
-  static void Forward(const Connection& aFrom, const Connection& aTo, Flow& aFlow);
+  void Forward(const Connection& aFrom, const Connection& aTo, Flow& aFlow);
 
   const Address upstream_;
+  std::string watchedText_;
+  std::atomic<double> lastSeen_ = 0;
   std::mutex mutex_;
   std::vector<std::shared_ptr<Flow>> flows_;
   Listener listener_;
