--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,51 +1,47 @@
-// A request crashes each replica that begins to run it, and its client sends it again. Shows how long the instances go
-// on handing it to replicas, and what happens to other requests that these replicas run.
+// The connections that are open between the instances and the store go silent for good, without a reset, while new ones
+// work. Some seconds later, when the machines count as in touch again, a replica starts to drain, and then the operator
+// moves the route to another service. Shows which requests still go where they may no longer go.
 //
-// Arguments: folder for settings and logs, path of the record, 1 or 0 for with or without the crashes.
+// Arguments: folder for settings and logs, path of the record, 1 or 0 for with or without the silence.
 
+#include "../standin/proxy.h"
 #include "../standin/world.h"
 
-#include <algorithm>
 #include <iostream>
-#include <map>
 
 namespace {
 
 using namespace review;
 
-constexpr int kInstances = 3;
-constexpr int kReplicas = 4;
+constexpr int kInstances = 6;
+constexpr int kRounds = 3;
 constexpr int kDeadlineMs = 2'000;
-constexpr int kAttempts = 2;
+/// Bounds of the installation, in seconds.
 constexpr double kStableWindow = 4;
-/// A crashed replica is back after this time.
-constexpr double kDown = 3;
-constexpr double kDuration = 50;
-/// The client of the request sends it again after this time.
-constexpr double kPeriod = 2;
-constexpr const char* kService = "fiwu23c";
-constexpr const char* kCrashingPath = "/timi402/2f";
+constexpr double kConfigApply = 3;
+constexpr double kDrain = 3;
 
-nlohmann::json
-Route(const std::string& aName, const std::string& aPrefix, const std::string& aType)
-{
-  return { { "name", aName },
-           { "host", kHost },
-           { "pathPrefix", aPrefix },
-           { "routeType", aType },
-           { "timeoutMs", kDeadlineMs },
-           { "targetLatencyMs", 400 },
-           { "attempts", kAttempts },
-           { "priority", 2 },
-           { "service", kService } };
-}
+const std::vector<std::string> kServices{ "fiwu23c", "nyka74d" };
 
 nlohmann::json
-Configuration()
+Configuration(uint64_t aVersion, const std::string& aService)
 {
-  return { { "version", 7 },
-           { "routes", { Route("r-fetch", "/timi402/", "idempotent"), Route("r-book", "/zuno51/", "non_idempotent") } },
-           { "services", { { { "name", kService }, { "healthPath", "/healthcheck" }, { "maxConns", 100 } } } },
+  nlohmann::json services = nlohmann::json::array();
+  for (const std::string& service : kServices) {
+    services.push_back({ { "name", service }, { "healthPath", "/healthcheck" }, { "maxConns", 100 } });
+  }
+  return { { "version", aVersion },
+           { "routes",
+             { { { "name", "r-fetch" },
+                 { "host", kHost },
+                 { "pathPrefix", "/timi402/" },
+                 { "routeType", "idempotent" },
+                 { "timeoutMs", kDeadlineMs },
+                 { "targetLatencyMs", 400 },
+                 { "attempts", 2 },
+                 { "priority", 2 },
+                 { "service", aService } } } },
+           { "services", services },
            { "limits",
              { { "maxHeaderBytes", 16384 },
                { "maxBodyBytes", 262144 },
@@ -53,6 +49,16 @@
                { "idleTimeoutMs", 15000 } } } };
 }
 
+/// What clients may expect at the moment: the route's service and when it was confirmed, and the replica that drains.
+struct Expectation
+{
+  std::mutex mutex_;
+  std::string service_ = kServices[0];
+  double confirmedAt_ = 0;
+  std::string drainingReplica_;
+  double drainingAt_ = 0;
+};
+
 class Case
 {
 public:
@@ -66,121 +72,172 @@
 
   Result Run()
   {
-    store_.Put("config", "main", Configuration());
-    for (int i = 0; i < kReplicas; i++) {
-      replicas_.push_back(std::make_unique<Replica>(
-        Replica::Settings{ "i-7f3a91c" + std::to_string(i), kService, "lhr-a", { LoopbackIp(100 + i), 8080 }, 0.15 },
-        store_,
-        record_));
-      replicas_.back()->SetAnswer([this](Replica& aReplica, Connection& aConnection, const Message& aRequest) {
-        Answer(aReplica, aConnection, aRequest);
-      });
+    store_.Put("config", "main", Configuration(7, kServices[0]));
+    for (int i = 0; i < 8; i++) {
+      replicas_.push_back(std::make_unique<Replica>(Replica::Settings{ "i-7f3a91c" + std::to_string(i),
+                                                                       kServices[i / 4],
+                                                                       i % 2 == 0 ? "lhr-a" : "lhr-b",
+                                                                       { LoopbackIp(100 + i), 8080 },
+                                                                       0.02 },
+                                                    store_,
+                                                    record_));
     }
     for (int i = 0; i < kInstances; i++) {
+      const Address proxy{ LoopbackIp(40 + i), 8102 };
+      proxies_.push_back(std::make_unique<Proxy>(proxy, store_.At()));
+      proxies_.back()->WatchFor("GET /-/objects/ibisrock-relays?allowStale=1 ");
+      const std::string zone = std::vector<std::string>{ "lhr-a", "lhr-b", "isb-a" }[i % 3];
       instances_.push_back(std::make_unique<Instance>(
-        InstanceSettings{ "front-lhr-a-" + std::to_string(i + 1), "lhr-a", LoopbackIp(10 + i), store_.At() }, folder_));
+        InstanceSettings{ "front-" + zone + "-" + std::to_string(1 + i / 3), zone, LoopbackIp(10 + i), proxy },
+        folder_));
       instances_.back()->Start();
     }
     if (!WaitUntilReady(instances_, 20)) {
       record_.Line("the instances were not ready in time");
       return kCouldNotRun;
     }
-    SleepFor(kStableWindow + 2);
     std::vector<std::thread> clients;
-    clients.emplace_back([this] { SendCrashingRequest(); });
+    clients.reserve(kInstances);
     for (int i = 0; i < kInstances; i++) {
-      clients.emplace_back([this, i] { SendOtherRequests(i); });
+      clients.emplace_back([this, i] { SendRequests(*instances_[i]); });
+    }
+    SleepFor(8);
+    for (int i = 0; i < kRounds; i++) {
+      PlayRound(i);
     }
-    SleepFor(kDuration);
     ended_ = true;
     for (std::thread& client : clients) {
       client.join();
     }
     instances_.clear();
-    record_.Line(std::to_string(crashes_) + " crashes; the request reached replicas in " +
-                 std::to_string(CountLateRetries()) +
-                 " retries sent later than stableWindowMs after the third crash; " + std::to_string(others_) +
-                 " other requests, " + std::to_string(othersLost_) + " without success, of which " +
-                 std::to_string(othersLostAtWork_) + " had begun to run");
-    if (CountLateRetries() > 3) {
+    record_.Line(std::to_string(successes_) + " successes, " + std::to_string(stale_) +
+                 " run by the old service later than configApplyMs after the confirmation, " +
+                 std::to_string(drained_) + " at a replica later than drainMs after it reported draining");
+    if (stale_ > 0 || drained_ > 0) {
       return kBroken;
     }
-    return others_ > 0 && answered_ > 0 ? kHeld : kCouldNotRun;
+    return successes_ > 0 ? kHeld : kCouldNotRun;
   }
 
 private:
-  void Answer(Replica& aReplica, Connection& aConnection, const Message& aRequest)
+  /// An instance at the store lists the relays every 5 s. Waits for the last of these seconds.
+  static void WaitForMoment(const Proxy& aProxy)
   {
-    const std::string id = aRequest.Field("Request-Id");
+    constexpr double kAfterList = 4.5;
+    constexpr double kLongestWait = 10;
+    const double before = aProxy.LastSeen();
+    const double end = Now() + kLongestWait;
+    while (aProxy.LastSeen() == before && Now() < end) {
+      SleepFor(0.01);
+    }
+    SleepFor(aProxy.LastSeen() + kAfterList - Now());
+  }
+
+  void PlayRound(int aRound)
+  {
+    WaitForMoment(*proxies_[aRound]);
+    if (hasTrouble_) {
+      for (const auto& proxy : proxies_) {
+        const int count = proxy->SilenceOpenConnections();
+        record_.Line(std::to_string(count) + " open connections of an instance to the store go silent");
+      }
+    }
+    SleepFor(kStableWindow + 1);
+    Replica& leaving = *replicas_[4 * (aRound % 2) + aRound];
+    leaving.Register("draining");
     {
-      const std::lock_guard lock(mutex_);
-      begun_[id] = true;
+      const std::lock_guard lock(expected_.mutex_);
+      expected_.drainingReplica_ = leaving.Config().id_;
+      expected_.drainingAt_ = Now();
     }
-    if (aRequest.Target() != kCrashingPath || !hasTrouble_) {
-      Replica::Respond(aReplica, aConnection, aRequest);
-      return;
+    record_.Line("the store confirms that " + leaving.Config().id_ + " is draining");
+    SleepFor(1);
+    const std::string& service = kServices[(aRound + 1) % 2];
+    store_.Put("config", "main", Configuration(9 + 3 * aRound, service));
+    {
+      const std::lock_guard lock(expected_.mutex_);
+      expected_.service_ = service;
+      expected_.confirmedAt_ = Now();
     }
+    record_.Line("the store confirms the version that moves the route to " + service);
+    SleepFor(kConfigApply);
+    NoteRelays(leaving.Config().id_);
+    SleepFor(3);
     {
-      const std::lock_guard lock(mutex_);
-      if (++crashes_ == 3) {
-        thirdCrashAt_ = Now();
-      }
+      const std::lock_guard lock(expected_.mutex_);
+      expected_.drainingReplica_.clear();
     }
-    record_.Line("replica " + aReplica.Config().id_ + " crashes as it begins to run " + id);
-    aReplica.Crash();
-    std::thread([&aReplica, this] {
-      SleepFor(kDown);
-      aReplica.Restart();
-      record_.Line("replica " + aReplica.Config().id_ + " is back");
-    }).detach();
+    leaving.Register("ready");
+    record_.Line(leaving.Config().id_ + " is ready again");
+    // Long enough for any wait of the system to end.
+    SleepFor(aRound + 1 < kRounds ? 12 : 0);
   }
 
-  /// The same path and body each time, at any machine, with an id of its own.
-  void SendCrashingRequest()
+  /// Notes what the instances tell others of the replica that drains. The result does not depend on it.
+  void NoteRelays(const std::string& aDraining)
   {
-    for (int i = 0; !ended_; i++) {
-      const std::string id = "9c41d07be2a3" + std::to_string(1000 + i);
-      {
-        const std::lock_guard lock(mutex_);
-        sentAt_[id] = Now();
+    constexpr uint16_t kPeerPort = 7380;
+    for (const auto& instance : instances_) {
+      const Address peer{ instance->Front().ip_, kPeerPort };
+      const auto state = Call(peer, "GET /-/relay HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n", 1);
+      const auto list = Call(peer, "GET /-/objects/servers HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n", 1);
+      if (!state || !list) {
+        continue;
+      }
+      for (const auto& item : nlohmann::json::parse(list->body_, nullptr, false).value("items", nlohmann::json())) {
+        if (item["meta"]["name"] == aDraining) {
+          record_.Line(instance->Name() + " tells other instances: current " +
+                       nlohmann::json::parse(state->body_)["current"].dump() + ", " + aDraining + " is " +
+                       item["spec"]["state"].dump());
+        }
       }
-      const Instance& instance = *instances_[i % kInstances];
-      record_.Line("client sends GET " + std::string(kCrashingPath) + " id " + id + " to " + instance.Name());
-      const auto answer = Call(instance.Front(), FormatRequest("GET", kCrashingPath, id, kDeadlineMs), 3);
-      answered_ += answer ? 1 : 0;
-      record_.Line("client gets " + (answer ? std::to_string(answer->Status()) : "no answer") + " to " + id);
-      SleepFor(kPeriod);
     }
   }
 
-  void SendOtherRequests(int aClient)
+  void SendRequests(const Instance& aInstance)
   {
-    constexpr double kPause = 0.1;
-    for (int i = 0; !ended_; i++) {
-      const std::string id = "77c0-" + std::to_string(aClient) + "-" + std::to_string(i);
-      const auto answer =
-        Call(instances_[aClient]->Front(), FormatRequest("POST", "/zuno51/2f", id, kDeadlineMs, "one batch"), 3);
-      others_++;
-      if (!answer || answer->Status() != 200) {
-        const std::lock_guard lock(mutex_);
-        othersLost_++;
-        othersLostAtWork_ += begun_.contains(id) ? 1 : 0;
-        record_.Line("another client gets " + (answer ? std::to_string(answer->Status()) : "no answer") +
-                     " to POST id " + id + (begun_.contains(id) ? ", which had begun to run" : ""));
-      }
-      SleepFor(kPause);
+    constexpr double kPeriod = 0.1;
+    int number = 0;
+    while (!ended_) {
+      SendOne(aInstance, "9c41d07b-" + aInstance.Name() + "-" + std::to_string(++number));
+      SleepFor(kPeriod);
     }
   }
 
-  int CountLateRetries()
+  void SendOne(const Instance& aInstance, const std::string& aId)
   {
-    const std::lock_guard lock(mutex_);
-    if (thirdCrashAt_ == 0) {
-      return 0;
+    const double sentAt = Now();
+    std::string service;
+    double confirmedAt = 0;
+    std::string draining;
+    double drainingAt = 0;
+    {
+      const std::lock_guard lock(expected_.mutex_);
+      service = expected_.service_;
+      confirmedAt = expected_.confirmedAt_;
+      draining = expected_.drainingReplica_;
+      drainingAt = expected_.drainingAt_;
+    }
+    const auto answer = Call(aInstance.Front(), FormatRequest("GET", "/timi402/2f", aId, kDeadlineMs), 3);
+    if (!answer || answer->Status() != 200) {
+      record_.Line("client gets " + (answer ? std::to_string(answer->Status()) : "no answer") + " to " + aId);
+      return;
+    }
+    successes_++;
+    const std::string stamp = answer->Field("Server-Stamp");
+    for (const auto& replica : replicas_) {
+      if (stamp != replica->Stamp(aId)) {
+        continue;
+      }
+      const bool isStale = replica->Config().service_ != service && sentAt > confirmedAt + kConfigApply;
+      const bool isDrained = replica->Config().id_ == draining && sentAt > drainingAt + kDrain;
+      stale_ += isStale ? 1 : 0;
+      drained_ += isDrained ? 1 : 0;
+      record_.Line(
+        "client gets 200 to " + aId + " from " + replica->Config().id_ + " of " + replica->Config().service_ +
+        (isStale ? ": OLD SERVICE, " + std::to_string(sentAt - confirmedAt) + " s after the confirmation" : "") +
+        (isDrained ? ": DRAINING for " + std::to_string(sentAt - drainingAt) + " s" : ""));
     }
-    return static_cast<int>(std::count_if(sentAt_.begin(), sentAt_.end(), [this](const auto& aSent) {
-      return aSent.second > thirdCrashAt_ + kStableWindow && begun_.contains(aSent.first);
-    }));
   }
 
   const std::string folder_;
@@ -188,19 +245,13 @@
   const bool hasTrouble_;
   Store store_;
   std::vector<std::unique_ptr<Replica>> replicas_;
+  std::vector<std::unique_ptr<Proxy>> proxies_;
   std::vector<std::unique_ptr<Instance>> instances_;
-  std::mutex mutex_;
-  /// Ids of requests that a replica has begun to run.
-  std::map<std::string, bool> begun_;
-  /// When each copy of the crashing request was sent, by id.
-  std::map<std::string, double> sentAt_;
-  int crashes_ = 0;
-  double thirdCrashAt_ = 0;
+  Expectation expected_;
   std::atomic<bool> ended_ = false;
-  std::atomic<int> answered_ = 0;
-  std::atomic<int> others_ = 0;
-  int othersLost_ = 0;
-  int othersLostAtWork_ = 0;
+  std::atomic<int> successes_ = 0;
+  std::atomic<int> stale_ = 0;
+  std::atomic<int> drained_ = 0;
 };
 
 } // namespace
