Show the age of what is known, and check BUDGET, DRAIN and CONFIG in the soak

Cause: neither logs nor metrics could tell the hypotheses of the incident apart, and the soak checked none of the three rules.

The emulator counts extra arrivals for each pool and window, arrivals at targets that have said that they leave, and routes that come or go too late. With CALM=1 a calm time follows each storm, in which the configuration changes and a target drains. INSTANCES sets the number of processes.

No decision of an instance is changed.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,13 +2,16 @@
 # Fault soak: entry instances as processes on loopback, an emulated platform with faults, and signals from outside.
 # Usage: scripts/soak.sh FIRST_SEED LAST_SEED [SECONDS]. The promises are checked by the callers of the emulator while it
 # runs: each answer is whole and its own, each part is of another shard, a refusal says when to return and that nothing
-# ran, nothing that may run once runs twice, and every request gets an answer in its time or loses its connection.
+# ran, nothing that may run once runs twice, and every request gets an answer in its time or loses its connection. The
+# emulator also checks the platform's rules BUDGET, CONFIG and DRAIN.
+# CALM=1 lets 15 s of calm follow each storm of 5 s, in which the rules with a time bound can be checked; a run takes 20 s
+# at least then. INSTANCES=N sets the number of processes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 first=${1:-1} last=${2:-1} seconds=${3:-12}
 build=${BUILD_DIR:-build}
 # Three of them become relays, the others use these.
-instances=5
+instances=${INSTANCES:-5}
 logs=$(mktemp -d)
 failed=0
 
@@ -25,36 +28,44 @@
   pids[$1]=$!
 }
 
+# The times are those of the log lines of the instances, so that a late answer can be traced to a pause.
+note() { # instance, event
+  echo "t=$(cut -d' ' -f1 /proc/uptime) instance=$1 $2" >>"$dir/signals.log"
+}
+
 # Disturbs one instance. Clients go on using its open connections until it is gone.
 disturb() { # instance, fault
-  # The times are those of the log lines of the instances, so that a late answer can be traced to a pause.
-  echo "t=$(cut -d' ' -f1 /proc/uptime) instance=$1 fault=$2" >>"$dir/signals.log"
+  note "$1" "fault=$2"
   case $2 in
-    0) kill -KILL "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1" ;;
-    1) kill -TERM "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1" ;;
-    2) kill -STOP "${pids[$1]}"; sleep 0.$((RANDOM % 9 + 1)); kill -CONT "${pids[$1]}"
-      echo "t=$(cut -d' ' -f1 /proc/uptime) instance=$1 resumed" >>"$dir/signals.log" ;;
+    0) kill -KILL "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1"; note "$1" started ;;
+    1) kill -TERM "${pids[$1]}"; wait "${pids[$1]}" 2>/dev/null; start_instance "$1"; note "$1" started ;;
+    2) kill -STOP "${pids[$1]}"; sleep 0.$((RANDOM % 9 + 1)); kill -CONT "${pids[$1]}"; note "$1" resumed ;;
     3) echo "caller-delay = $((RANDOM % 5 + 1))ms" >>"$dir/$1.conf"; kill -HUP "${pids[$1]}" ;;
   esac
 }
 
+# Whether signals are sent now; the storms are those of the emulator.
+is_storm() { [ "${CALM:-0}" = 0 ] || [ $(($(date +%s) % 20)) -lt 5 ]; }
+
 run_seed() { # seed
   RANDOM=$1
   dir=$logs/$1
   mkdir -p "$dir"
-  local base=$((21000 + $1 % 200 * 40)) calls=() i
+  local slots=$((11000 / (instances * 4 + 4)))
+  local base=$((21000 + $1 % slots * (instances * 4 + 4))) calls=() options=() i
+  [ "${CALM:-0}" = 0 ] || options+=(--calm)
   declare -a pids
   for ((i = 0; i < instances; i++)); do
     settings "$base" "$i" >"$dir/$i.conf"
     calls+=(--call "127.0.0.1:$((base + i * 4 + 1))")
   done
   "$build/ibisrock-emulator" --store-port "$base" --shards 10 --replicas 2 --rate 60 --seconds "$seconds" --seed "$1" \
-    --faults --once --signals "$dir/signals.log" "${calls[@]}" >"$dir/emulator.log" 2>&1 &
+    --faults --once --signals "$dir/signals.log" "${options[@]}" "${calls[@]}" >"$dir/emulator.log" 2>&1 &
   local emulator=$!
   for ((i = 0; i < instances; i++)); do start_instance "$i"; done
   sleep 3
   while kill -0 "$emulator" 2>/dev/null; do
-    disturb $((RANDOM % instances)) $((RANDOM % 4))
+    if is_storm; then disturb $((RANDOM % instances)) $((RANDOM % 4)); fi
     sleep 0.$((RANDOM % 9))
   done
   wait "$emulator"
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -132,6 +132,19 @@
   impl_->SetGauge("ibisrock_relay_subscribers",
                   "Instances that use this one as their relay",
                   static_cast<double>(aState.relaySubscribers_));
+  impl_->SetGauge("ibisrock_uptime_seconds", "Time since the start of the process", ToSeconds(aState.uptime_));
+  impl_->SetGauge("ibisrock_configuration_age_seconds",
+                  "Time since the source of changes last confirmed the configuration",
+                  ToSeconds(aState.configurationAge_));
+  impl_->SetGauge("ibisrock_targets_age_seconds",
+                  "Time since the source of changes last confirmed the targets",
+                  ToSeconds(aState.targetsAge_));
+  impl_->SetGauge("ibisrock_extra_attempts_earned",
+                  "Extra attempts at a pool that each first attempt there allows this instance",
+                  aState.extraAttemptsEarned_);
+  impl_->SetGauge("ibisrock_extra_attempts_saved_max",
+                  "Extra attempts at a pool that this instance may save up",
+                  aState.extraAttemptsSaved_);
   impl_->SetGauge("ibisrock_ready", "1 while the instance is ready", toDouble(aState.isReady_));
   return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -22,6 +22,13 @@
   bool isRelay_ = false;
   size_t relaySubscribers_ = 0;
   bool isReady_ = false;
+  Micros uptime_{};
+  /// Time since the source of changes last confirmed what is known.
+  Micros configurationAge_{};
+  Micros targetsAge_{};
+  /// This instance's share of the extra attempts of each pool: earned by a first attempt, and saved at most.
+  double extraAttemptsEarned_ = 0;
+  double extraAttemptsSaved_ = 0;
 };
 
 /// Counts router events in a Prometheus registry. Not thread-safe.
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -109,8 +109,9 @@
 RequestLog::OnAttemptFailed(const FailedAttempt& aAttempt)
 {
   log_.Write(LogLevel::Info, kAttemptFailed, [&] {
-    return "event=attempt_failed request=" + aAttempt.request_.id_ + " pool=" + aAttempt.pool_.Value() +
-           " target=" + aAttempt.target_.Value() + " verdict=" + std::string(ToString(aAttempt.verdict_)) +
+    return "event=attempt_failed request=" + aAttempt.request_.id_ + " path=" + aAttempt.request_.target_ +
+           " pool=" + aAttempt.pool_.Value() + " target=" + aAttempt.target_.Value() +
+           " verdict=" + std::string(ToString(aAttempt.verdict_)) +
            " reason=" + std::string(ToString(aAttempt.reason_)) + " status=" + std::to_string(aAttempt.status_) +
            " took=" + FormatMillis(aAttempt.duration_) + " in_flight=" + std::to_string(aAttempt.inFlight_) +
            " slowness=" + std::to_string(aAttempt.slowness_) + " extra=" + (aAttempt.isExtra_ ? "yes" : "no");
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -49,6 +49,37 @@
                              Millis(0) }),
   [](const auto& aCase) { return aCase.param.name_; });
 
+struct LeftAloneCase
+{
+  const char* name_;
+  const char* lines_;
+  Millis begin_;
+  bool wasLeftAlone_;
+};
+
+class InstanceLeftAlone : public testing::TestWithParam<LeftAloneCase>
+{};
+
+/// Guards against rules that are checked at an instance that was disturbed, or that excuse one that was not.
+TEST_P(InstanceLeftAlone, EndsWithASignal)
+{
+  std::istringstream lines(GetParam().lines_);
+  EXPECT_EQ(WasLeftAloneSince(lines, 1, GetParam().begin_), GetParam().wasLeftAlone_);
+}
+
+constexpr const char* kRestart = "t=5.50 instance=1 fault=1\nt=7.00 instance=1 started\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Soak,
+  InstanceLeftAlone,
+  testing::Values(LeftAloneCase{ "NoSignal", "", Millis(4000), true },
+                  LeftAloneCase{ "LongAgo", kRestart, Millis(8000), true },
+                  LeftAloneCase{ "StartedLately", kRestart, Millis(6000), false },
+                  LeftAloneCase{ "StillStopping", "t=5.50 instance=1 fault=1\n", Millis(8000), false },
+                  LeftAloneCase{ "Reloaded", "t=8.50 instance=1 fault=3\n", Millis(8000), true },
+                  LeftAloneCase{ "OtherInstance", "t=8.50 instance=2 fault=0\n", Millis(8000), true }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 struct UnresponsiveCase
 {
   const char* name_;
--- /dev/null
+++ b/tests/rule_checker_test.cpp
@@ -0,0 +1,119 @@
+#include "platform/emulator/rule_checker.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisrock::platform {
+namespace {
+
+const PoolName kPool("pool");
+const TargetName kTarget("t");
+
+/// A checker on a manual clock, long after the start. Instance 1 is never left alone.
+class CheckerFixture
+{
+public:
+  CheckerFixture() { timers_.Advance(Seconds(60)); }
+
+  void Send(size_t aInstance = 0) { checker_.OnSent(Id(), aInstance, { kPool }); }
+  void Arrive() { checker_.OnArrival(kTarget, kPool, Id()); }
+  void NextRequest() { number_++; }
+  std::string Id() const { return "r" + std::to_string(number_); }
+
+  ManualTimerService timers_;
+  RuleChecker checker_{ timers_, {}, [](size_t aInstance, Micros) { return aInstance != 1; } };
+  size_t number_ = 0;
+};
+
+struct CheckedCase
+{
+  const char* name_;
+  void (*play_)(CheckerFixture&);
+  size_t violations_;
+};
+
+void
+LeaveAndArrive(CheckerFixture& aFixture, Micros aLater, size_t aInstance = 0)
+{
+  aFixture.checker_.OnStateStored(kTarget, true);
+  aFixture.timers_.Advance(aLater);
+  aFixture.Send(aInstance);
+  aFixture.Arrive();
+}
+
+/// Sends 100 requests, of which each arrives aArrivals times, over 5 s.
+void
+SendMany(CheckerFixture& aFixture, size_t aArrivals)
+{
+  for (int i = 0; i < 100; i++) {
+    aFixture.NextRequest();
+    aFixture.Send();
+    for (size_t arrival = 0; arrival < aArrivals; arrival++) {
+      aFixture.Arrive();
+    }
+    aFixture.timers_.Advance(Millis(50));
+  }
+}
+
+class CheckedRule : public testing::TestWithParam<CheckedCase>
+{};
+
+/// Guards against a soak that passes over a broken rule, or that calls an excused case a violation.
+TEST_P(CheckedRule, IsBrokenOrHeld)
+{
+  CheckerFixture fixture;
+  GetParam().play_(fixture);
+  EXPECT_EQ(fixture.checker_.Violations().size(), GetParam().violations_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Soak,
+  CheckedRule,
+  testing::Values(
+    CheckedCase{ "DrainInTime", [](CheckerFixture& aFixture) { LeaveAndArrive(aFixture, Millis(2900)); }, 0 },
+    CheckedCase{ "DrainTooLate", [](CheckerFixture& aFixture) { LeaveAndArrive(aFixture, Millis(3100)); }, 1 },
+    CheckedCase{ "DrainAtDisturbedInstance",
+                 [](CheckerFixture& aFixture) { LeaveAndArrive(aFixture, Millis(3100), 1); },
+                 0 },
+    CheckedCase{ "DrainAfterReturn",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStateStored(kTarget, true);
+                   aFixture.checker_.OnStateStored(kTarget, false);
+                   aFixture.timers_.Advance(Seconds(4));
+                   aFixture.Send();
+                   aFixture.Arrive();
+                 },
+                 0 },
+    CheckedCase{ "DrainWhileStoreIsDisturbed",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStoreDisturbed(Seconds(1));
+                   LeaveAndArrive(aFixture, Seconds(20));
+                 },
+                 0 },
+    CheckedCase{ "BudgetKept", [](CheckerFixture& aFixture) { SendMany(aFixture, 1); }, 0 },
+    CheckedCase{ "BudgetExceeded", [](CheckerFixture& aFixture) { SendMany(aFixture, 2); }, 1 },
+    CheckedCase{ "BudgetOfTwoWindows",
+                 [](CheckerFixture& aFixture) {
+                   for (int burst = 0; burst < 2; burst++) {
+                     for (int i = 0; i < 50; i++) {
+                       aFixture.NextRequest();
+                       aFixture.Send();
+                       aFixture.Arrive();
+                       aFixture.Arrive();
+                     }
+                     aFixture.timers_.Advance(Seconds(11));
+                   }
+                 },
+                 0 },
+    CheckedCase{ "ConfigInTime",
+                 [](CheckerFixture& aFixture) { aFixture.checker_.OnStaleRoute(0, "route", Millis(2900)); },
+                 0 },
+    CheckedCase{ "ConfigTooLate",
+                 [](CheckerFixture& aFixture) { aFixture.checker_.OnStaleRoute(0, "route", Millis(3100)); },
+                 1 },
+    CheckedCase{ "ConfigAtDisturbedInstance",
+                 [](CheckerFixture& aFixture) { aFixture.checker_.OnStaleRoute(1, "route", Millis(3100)); },
+                 0 }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace ibisrock::platform
