Take an answer without a length as whole only after an orderly end

Callers saw: 200 with the first half of a target's answer, framed as whole (MIXED).

Cause: a socket reports a reset once. While a part of the request was still unwritten, the write took the error, and was ignored; the read that followed saw an end of file, which ended an answer without a length as an orderly close does. Class: one event observed at two places, of which only one decides.

Fix: one function decides how the connection has ended, from the read and the write together.

Looked at: an answer that ends within its head, or within chunks, or before its length, cut after any number of bytes, was no answer before either (TargetLink.AnswerThatEndsWithinItsHeadIsNoAnswer, passes on both). The blocking client of ibisrockd does not read after a failed write. Callers' requests without an end get no answer.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -103,9 +103,10 @@
   const std::string& body = request_.body_ ? *request_.body_ : kEmpty;
   const std::array<asio::const_buffer, 2> buffers{ asio::buffer(request_.head_), asio::buffer(body) };
   writing_ = true;
-  // A failed write is not reported: the server may have answered before, and the reading side sees the loss as well.
+  // A failed write does not end the exchange: the server may have answered before, and the reading side sees the loss.
   asio::async_write(socket_, buffers, [self = shared_from_this()](const boost::system::error_code& aError, size_t) {
-    self->writing_ = static_cast<bool>(aError);
+    self->hasWriteFailed_ = static_cast<bool>(aError);
+    self->writing_ = self->hasWriteFailed_;
   });
 }
 
@@ -142,7 +143,7 @@
       ReadRest();
     }
   } else {
-    OnEndOfStream(aError == asio::error::eof ? "" : aError.message());
+    OnEndOfStream(aError);
   }
   if (open_) {
     ReadSome();
@@ -162,7 +163,7 @@
       return;
     }
     if (error) {
-      OnEndOfStream(error == asio::error::eof ? "" : error.message());
+      OnEndOfStream(error);
       return;
     }
     Take({ buffer.data(), count });
@@ -218,12 +219,14 @@
   }
 }
 
-/// The server has closed its side. aWhy is empty when it did so in order, which ends a reply without a length.
+/// Decides how the connection has ended. Only an orderly end completes a reply without a length. A socket reports a
+/// reset once, and if a write takes it, the next read sees an end of file.
 void
-LoopHttpConnection::OnEndOfStream(const std::string& aWhy)
+LoopHttpConnection::OnEndOfStream(const boost::system::error_code& aError)
 {
+  const bool isOrderly = aError == asio::error::eof && !hasWriteFailed_;
   // Without a first byte the parser would make an empty reply of the close.
-  if (onReply_ && parser_ && parser_->got_some() && aWhy.empty()) {
+  if (isOrderly && onReply_ && parser_ && parser_->got_some()) {
     boost::system::error_code error;
     parser_->put_eof(error);
     if (!error && parser_->is_done()) {
@@ -232,7 +235,7 @@
       return;
     }
   }
-  Fail(aWhy.empty() ? "closed by the server" : aWhy);
+  Fail(aError == asio::error::eof ? "closed by the server" : aError.message());
 }
 
 void
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -89,7 +89,7 @@
   void ReadRest();
   void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
-  void OnEndOfStream(const std::string& aWhy);
+  void OnEndOfStream(const boost::system::error_code& aError);
   void OnParsed();
   void TakeReply();
   void NewParser();
@@ -104,6 +104,8 @@
   bool reusable_ = false;
   bool sent_ = false;
   bool writing_ = false;
+  /// A write has failed, so that the end of the stream may be a reset that was reported to the write.
+  bool hasWriteFailed_ = false;
   bool expectsNoBody_ = false;
   RequestText request_;
   std::optional<Parser> parser_;
--- a/tests/target_link_test.cpp
+++ b/tests/target_link_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/loop_timer_service.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -237,6 +238,138 @@
   }
 }
 
+/// A target that answers after it has read the head of a request, without a length, and then ends the connection.
+class EarlyTarget
+{
+public:
+  enum class End : uint8_t
+  {
+    /// Reads the rest of the request first, so that the close is orderly.
+    Close,
+    /// Bytes of the request are unread, so that the kernel resets the connection.
+    Reset,
+  };
+
+  EarlyTarget(asio::io_context& aLoop, std::string aAnswer, End aEnd)
+    : acceptor_(aLoop)
+    , socket_(aLoop)
+    , timer_(aLoop)
+    , answer_(std::move(aAnswer))
+    , end_(aEnd)
+  {
+    constexpr int kWindow = 4 << 10;
+    acceptor_.open(asio::ip::tcp::v4());
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(kWindow));
+    acceptor_.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor_.listen();
+    acceptor_.async_accept(socket_, [this](const boost::system::error_code& aError) {
+      if (!aError) {
+        asio::async_read_until(socket_, input_, "\r\n\r\n", [this](const auto&, size_t) { Answer(); });
+      }
+    });
+  }
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+private:
+  void Answer()
+  {
+    asio::async_write(socket_, asio::buffer(answer_), [this](const auto&, size_t) {
+      if (end_ == End::Reset) {
+        // The answer is read before the reset comes, so that both the read and the write wait for the socket then.
+        timer_.expires_after(std::chrono::milliseconds(20));
+        timer_.async_wait([this](const auto&) {
+          boost::system::error_code ignored;
+          socket_.close(ignored);
+        });
+      } else {
+        ReadRest();
+      }
+    });
+  }
+
+  void ReadRest()
+  {
+    asio::async_read_until(socket_, input_, "<end>", [this](const auto&, size_t) {
+      boost::system::error_code ignored;
+      socket_.close(ignored);
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  asio::streambuf input_;
+  const std::string answer_;
+  const End end_;
+};
+
+struct EarlyAnswerCase
+{
+  const char* name_;
+  std::string framing_;
+  EarlyTarget::End end_;
+  Verdict verdict_;
+};
+
+class EarlyAnswer : public testing::TestWithParam<EarlyAnswerCase>
+{};
+
+/// Guards against half an answer that passes for a whole one: without a length, only an orderly close ends an answer,
+/// also if the reset is reported to the request that is still being written.
+TEST_P(EarlyAnswer, IsWholeOnlyAfterAnOrderlyEnd)
+{
+  constexpr size_t kBody = 4 << 20;
+  asio::io_context loop{ 1 };
+  LoopTimerService timers(loop);
+  HttpTargetLink link(loop, timers, HeaderNames());
+  EarlyTarget target(
+    loop, std::string("HTTP/1.1 200 X\r\n") + kOwn + GetParam().framing_ + "\r\nhalf", GetParam().end_);
+  auto request = std::make_shared<CallerRequest>();
+  request->method_ = "POST";
+  request->target_ = "/a";
+  request->host_ = "h";
+  request->id_ = "r1";
+  request->body_ = std::make_shared<std::string>(std::string(kBody, 'x') + "<end>");
+  std::optional<TargetOutcome> outcome;
+  link.Send({ TargetName("t"), TargetAddress(target.Address()), request, Seconds(5) },
+            [&](TargetOutcome aOutcome) { outcome = std::move(aOutcome); });
+  const TimePoint end = timers.Now() + Seconds(5);
+  while (!outcome && timers.Now() < end) {
+    loop.run_one_for(std::chrono::milliseconds(10));
+  }
+  ASSERT_TRUE(outcome);
+  EXPECT_EQ(outcome->verdict_, GetParam().verdict_);
+  EXPECT_EQ(outcome->body_ ? *outcome->body_ : "", GetParam().verdict_ == Verdict::Ran ? "half" : "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  TargetLink,
+  EarlyAnswer,
+  testing::Values(
+    EarlyAnswerCase{ "WithoutLengthThenClosed", "", EarlyTarget::End::Close, Verdict::Ran },
+    EarlyAnswerCase{ "WithoutLengthThenReset", "", EarlyTarget::End::Reset, Verdict::MayHaveRun },
+    EarlyAnswerCase{ "TooShortThenReset", "Content-Length: 9\r\n", EarlyTarget::End::Reset, Verdict::MayHaveRun },
+    EarlyAnswerCase{ "WholeThenReset", "Content-Length: 4\r\n", EarlyTarget::End::Reset, Verdict::Ran }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against an answer that ends within its head and is passed on as a whole one with an empty or short body: cut
+/// after any number of bytes, it is no answer.
+TEST(TargetLink, AnswerThatEndsWithinItsHeadIsNoAnswer)
+{
+  const std::string head = std::string("HTTP/1.1 200 OK\r\n") + kOwn + "Content-Length: 4\r\n\r\n";
+  const std::string chunked = std::string("HTTP/1.1 200 OK\r\n") + kOwn + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& whole : { head + "body", chunked + "4\r\nbody\r\n0\r\n\r\n" }) {
+    for (size_t length = 0; length < whole.size(); length++) {
+      LinkFixture fixture;
+      ScriptedTarget target(fixture.loop_, { { whole.substr(0, length), true } });
+      const TargetOutcome outcome = fixture.Call(target.Address());
+      EXPECT_EQ(outcome.verdict_, Verdict::MayHaveRun) << length;
+      EXPECT_FALSE(outcome.body_) << length;
+    }
+  }
+}
+
 struct ReuseCase
 {
   const char* name_;
