Refuse new requests in the second half of a planned stop

Callers saw: closed connections without an answer at the end of a planned stop, also for requests that may not be repeated and that targets ran (LOST).

Cause: a process that is never idle accepted requests until it ended, 0.1 s before the stop time. Those that came after the runs had been expired were cut off. Class: a shutdown that waits for quiet instead of ending the supply of work.

Fix: from half of the stop time on requests are refused as not run, to be sent elsewhere at once; what was accepted has the other half to end, and is answered when it does not. Once nothing runs the process stops listening, so that connections that would only be refused do not delay its end. A stop time below 2.5 s is kept now, too.

--- a/src/entry/drain.cpp
+++ b/src/entry/drain.cpp
@@ -7,6 +7,8 @@
 /// Time until the load balancer stops sending new connections. It checks readiness every second and removes an instance
 /// after two failed checks; half a second is added for its own delay.
 constexpr Micros kRotationDelay = Millis(2500);
+/// Part of the stop time in which requests are accepted. The rest is for the accepted ones to end.
+constexpr double kAcceptShare = 0.5;
 /// Requests still in flight this long before the process is killed are expired and answered.
 constexpr Micros kExpiryMargin = Millis(400);
 constexpr Micros kPollInterval = Millis(20);
@@ -26,6 +28,11 @@
 {
 }
 
+Drain::~Drain()
+{
+  timers_.Cancel(nextCheck_);
+}
+
 void
 Drain::Begin()
 {
@@ -34,23 +41,39 @@
   }
   begunAt_ = timers_.Now();
   server_.BeginDrain();
-  timers_.After(kRotationDelay, [this] { Check(); });
+  Check();
 }
 
 void
 Drain::Check()
 {
   const Micros elapsed = timers_.Now() - *begunAt_;
-  server_.CloseIdle();
+  if (elapsed >= Scale(stopTime_, kAcceptShare)) {
+    router_.RefuseNewRequests();
+  }
   if (!expired_ && elapsed >= stopTime_ - kExpiryMargin) {
     expired_ = true;
     router_.ExpireAll();
   }
-  if (!server_.IsBusy() || elapsed >= stopTime_ - kExpiryMargin / 4) {
+  if (elapsed >= kRotationDelay) {
+    server_.CloseIdle();
+    // A load balancer without another instance goes on sending connections. Once all accepted requests have ended, the
+    // connections that would only be refused must not delay the exit.
+    if (router_.IsRefusingNewRequests() && router_.RunCount() == 0) {
+      server_.StopAccepting();
+    }
+  }
+  if (IsDone(elapsed)) {
     onDone_();
     return;
   }
-  timers_.After(kPollInterval, [this] { Check(); });
+  nextCheck_ = timers_.After(kPollInterval, [this] { Check(); });
+}
+
+bool
+Drain::IsDone(Micros aElapsed) const
+{
+  return (aElapsed >= kRotationDelay && !server_.IsBusy()) || aElapsed >= stopTime_ - kExpiryMargin / 4;
 }
 
 } // namespace ibisrock::entry
--- a/src/entry/drain.h
+++ b/src/entry/drain.h
@@ -9,9 +9,10 @@
 
 namespace ibisrock::entry {
 
-/// Graceful shutdown of a process. Reports the process as not ready, keeps serving until the load balancer has removed
-/// it from rotation, then closes idle connections. Completes when no request is in flight, or shortly before the stop
-/// time elapses.
+/// Graceful shutdown of a process. Reports the process as not ready and keeps serving until the load balancer has
+/// removed it from rotation. Requests that come after half of the stop time are refused as not run, so that those that
+/// were accepted end before the process does, at any load. Completes when no request is in flight, or shortly before
+/// the stop time elapses.
 class Drain
 {
 public:
@@ -20,6 +21,10 @@
         adapters::CallerServer& aServer,
         Micros aStopTime,
         std::function<void()> aOnDone);
+  ~Drain();
+
+  Drain(const Drain&) = delete;
+  Drain& operator=(const Drain&) = delete;
 
   void Begin();
   /// Applies to a drain that is in progress as well as to a later one.
@@ -28,6 +33,7 @@
 
 private:
   void Check();
+  bool IsDone(Micros aElapsed) const;
 
   TimerService& timers_;
   Router& router_;
@@ -36,6 +42,7 @@
   const std::function<void()> onDone_;
   std::optional<TimePoint> begunAt_;
   bool expired_ = false;
+  TimerId nextCheck_;
 };
 
 } // namespace ibisrock::entry
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -16,8 +16,6 @@
 constexpr double kFleetRateDecay = 0.97;
 /// After the start neither the reported nor the own rate is known well.
 constexpr Micros kRateSettleTime = Seconds(20);
-/// Retry-After of refusals. An instance that has just started receives its configuration and targets within this time.
-constexpr Micros kRetryAfterRefusal = Millis(250);
 /// Concurrency limit of a target whose pool does not set a maximum number of connections.
 constexpr unsigned kDefaultConnectionLimit = 8;
 
@@ -166,6 +164,11 @@
 {
   latestRate_.Count(timers_.Now());
   usualRate_.Count(timers_.Now());
+  if (isRefusing_) {
+    // The caller's next connection goes to another instance, which can serve it at once.
+    Refuse(*aRequest, 503, Reason::Draining, aOnReply, Micros::zero());
+    return RunId();
+  }
   if (!IsReady()) {
     Refuse(*aRequest, 503, Reason::NotReady, aOnReply);
     return RunId();
@@ -193,14 +196,18 @@
 }
 
 void
-Router::Refuse(const CallerRequest& aRequest, unsigned aStatus, Reason aReason, const OnReply& aOnReply)
+Router::Refuse(const CallerRequest& aRequest,
+               unsigned aStatus,
+               Reason aReason,
+               const OnReply& aOnReply,
+               Micros aRetryAfter)
 {
   if (log_ != nullptr) {
     log_->OnRefused(aRequest, aStatus, aReason, table_ ? table_->Version() : ConfigVersion());
   }
   CallerReply reply = MakeErrorReply(aStatus, aReason);
   if (aStatus == 503) {
-    reply.retryAfter_ = kRetryAfterRefusal;
+    reply.retryAfter_ = aRetryAfter;
   }
   aOnReply(std::move(reply));
 }
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -75,10 +75,17 @@
   RunId Submit(std::shared_ptr<const CallerRequest> aRequest, OnReply aOnReply);
   void OnCallerLeft(RunId aRun);
   size_t RunCount() const { return runs_.size(); }
+  /// Refuses the requests that come from now on. Used when the process stops.
+  void RefuseNewRequests() { isRefusing_ = true; }
+  bool IsRefusingNewRequests() const { return isRefusing_; }
   /// Ends all runs immediately with the replies received so far. Used when the process stops.
   void ExpireAll();
 
 private:
+  /// Retry-After of refusals. An instance that has just started receives its configuration and targets within this
+  /// time.
+  static constexpr Micros kRetryAfterRefusal = Millis(250);
+
   struct ActiveRun
   {
     std::unique_ptr<RoutedRun> run_;
@@ -86,7 +93,11 @@
     OnReply onReply_;
   };
 
-  void Refuse(const CallerRequest& aRequest, unsigned aStatus, Reason aReason, const OnReply& aOnReply);
+  void Refuse(const CallerRequest& aRequest,
+              unsigned aStatus,
+              Reason aReason,
+              const OnReply& aOnReply,
+              Micros aRetryAfter = kRetryAfterRefusal);
   void OnRunEnd(RunId aRun, RunResult aEnd);
   void DestroyLater(std::unique_ptr<RoutedRun> aRun);
   void ApplyConnectionLimit(const TargetPtr& aTarget) const;
@@ -109,6 +120,7 @@
   std::shared_ptr<const RouteTable> table_;
   bool hasTargets_ = false;
   bool discoveryCurrent_ = false;
+  bool isRefusing_ = false;
   size_t instances_ = 1;
   std::unordered_map<RunId, ActiveRun> runs_;
   RunId lastRun_;
