--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -370,6 +370,131 @@
                                          LostWatchCase{ "LargeDeployment", Millis(7300), Seconds(6) }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// Guards against a store that is asked without a pause because it answers with something that is no list.
+TEST(Discovery, PausesWhenTheSourceFailsAtOnce)
+{
+  // In 10 s, three calls after each pause of half a second, and the first ones.
+  constexpr uint64_t kMaxCalls = 70;
+  boost::asio::io_context loop{ 1 };
+  ManualTimerService timers;
+  Random random(1);
+  tests::FakeTargetLink link;
+  NullLog log;
+  Router router({}, timers, random, link, nullptr);
+  LastReason reason;
+  size_t calls = 0;
+  auto store = adapters::CallerServer::Create(
+    loop,
+    timers,
+    { .address_ = { "127.0.0.1", 0 } },
+    [&calls](const std::shared_ptr<const CallerRequest>& aRequest, const adapters::CallerServer::OnReply& aReply) {
+      calls++;
+      CallerReply reply;
+      reply.status_ = 200;
+      const bool isRelayList = aRequest->target_.find(RelayRegistration::kKind) != std::string::npos;
+      reply.body_ = std::make_shared<std::string>(isRelayList ? R"({"items":[],"asOf":1})" : R"({"items":[)");
+      aReply(std::move(reply));
+      return adapters::CallerServer::OnLeft();
+    },
+    reason);
+  ASSERT_TRUE(store) << reason.Text();
+  const Discovery::Settings settings{ { "127.0.0.1", store->Port() },
+                                      "entry-1",
+                                      "z",
+                                      { "127.0.0.1", 0 },
+                                      Seconds(3),
+                                      Seconds(3),
+                                      [&timers] { return timers.Now().time_since_epoch(); } };
+  Discovery discovery(loop, timers, random, settings, router, log, [] {});
+  ASSERT_TRUE(discovery.Start(reason)) << reason.Text();
+  for (int step = 0; step < 1000; step++) {
+    timers.Advance(Millis(10));
+    loop.run_for(std::chrono::microseconds(200));
+    while (loop.poll() > 0) {
+    }
+  }
+  EXPECT_LE(calls, kMaxCalls);
+}
+
+struct ReturnCase
+{
+  const char* name_;
+  /// Registered relays, none of which answers.
+  size_t silentRelays_;
+  Seconds timeLimit_;
+};
+
+class ReturnFromACut : public testing::TestWithParam<ReturnCase>
+{};
+
+/// Guards against an instance that returns from a cut and goes on with an old configuration, because it looks for a
+/// relay among others that are cut off, although the store answers. It counts as in touch a second after the time to
+/// apply a configuration at the least.
+TEST_P(ReturnFromACut, HasTheNewestConfigurationInTime)
+{
+  // Takes connections and never answers.
+  boost::asio::io_context silentLoop;
+  boost::asio::ip::tcp::acceptor silent(silentLoop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  const std::string silentAddress = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  boost::asio::io_context loop{ 1 };
+  ManualTimerService timers;
+  Random random(1);
+  tests::FakeTargetLink link;
+  NullLog log;
+  Router router({}, timers, random, link, nullptr);
+  LastReason reason;
+  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
+  ASSERT_TRUE(store) << reason.Text();
+  store->Put("config", "main", Configuration(1, json::object()));
+  for (size_t i = 0; i < GetParam().silentRelays_; i++) {
+    const RelaySlot slot{ RelaySlotName("z." + std::to_string(i)),
+                          InstanceId("other-" + std::to_string(i)),
+                          PeerAddress(silentAddress),
+                          DataCentre("z"),
+                          1,
+                          {},
+                          0 };
+    store->Put(RelayRegistration::kKind, slot.name_.Value(), RelayRegistration::Encode(slot)["spec"]);
+  }
+  const Discovery::Settings settings{ { "127.0.0.1", store->Port() },
+                                      "entry-1",
+                                      "z",
+                                      { "127.0.0.1", 0 },
+                                      GetParam().timeLimit_,
+                                      GetParam().timeLimit_,
+                                      [&timers] { return timers.Now().time_since_epoch(); } };
+  Discovery discovery(loop, timers, random, settings, router, log, [] {});
+  ASSERT_TRUE(discovery.Start(reason)) << reason.Text();
+  const auto advance = [&](Micros aTime) {
+    for (const TimePoint end = timers.Now() + aTime; timers.Now() < end;) {
+      timers.Advance(Millis(20));
+      loop.run_for(std::chrono::microseconds(100));
+      while (loop.poll() > 0) {
+      }
+    }
+  };
+  advance(Seconds(12));
+  ASSERT_TRUE(router.IsReady());
+  // The cut may end at any moment of the search.
+  for (uint64_t version = 2; version < 9; version++) {
+    store->SetMode(StoreMode::Silent);
+    advance(Seconds(4) + Millis(330) * version);
+    store->Put("config", "main", Configuration(version, json::object()));
+    store->SetMode(StoreMode::Up);
+    advance(GetParam().timeLimit_ + Seconds(1));
+    EXPECT_EQ(router.Routes()->Version(), ConfigVersion(version));
+    advance(Seconds(3));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Discovery,
+                         ReturnFromACut,
+                         testing::Values(ReturnCase{ "NoRelays", 0, Seconds(3) },
+                                         ReturnCase{ "OneRelayIsCutOff", 1, Seconds(3) },
+                                         ReturnCase{ "AllRelaysAreCutOff", 3, Seconds(3) },
+                                         ReturnCase{ "LargeDeployment", 3, Seconds(6) }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
 struct WatchPauseCase
 {
   const char* name_;
