Give a started process its fixed part of the extra attempts only after a window

Callers' targets saw: more repeats than the bound of all instances allows (BUDGET), when instances are restarted in series while attempts fail.

Cause: each start of a process began with full budgets, 0.75 of the fixed part for all instances together. Two starts of all instances within a window allow one and a half times the fixed part. And an instance that was cut off from the store was not counted any more after 55 s, although it went on serving with its own share. Class: what is promised for a time and a fleet is granted for the life of a process.

Fix: in its first window a process saves one token at most and begins with none, so that it makes the extra attempts that its own requests earn; then it gets its whole part. A larger fleet is remembered for 10 min instead of 30 s. The rate of requests is remembered for 30 s as before.

CountsInstancesOfLiveRelays waits for the new time. The router's tests begin after the first window. Elsewhere: ibisrockd's budgets begin full as well; their bound, 5% of the attempts of a service, is not one of a window, and is left.

--- a/src/process/extra_attempt_budget.h
+++ b/src/process/extra_attempt_budget.h
@@ -18,9 +18,13 @@
 
   /// Each first attempt earns aShare tokens; at most aMaxTokens are saved. The budget starts full.
   explicit ExtraAttemptBudget(double aShare = kShare, double aMaxTokens = kMaxTokens)
+    : ExtraAttemptBudget(aShare, aMaxTokens, aMaxTokens)
+  {
+  }
+  ExtraAttemptBudget(double aShare, double aMaxTokens, double aInitialTokens)
     : share_(aShare)
     , maxTokens_(aMaxTokens)
-    , tokens_(aMaxTokens)
+    , tokens_(aInitialTokens)
   {
   }
 
@@ -37,6 +41,12 @@
     tokens_ = std::min(maxTokens_, tokens_);
   }
 
+  void Fill()
+  {
+    std::lock_guard lock(mutex_);
+    tokens_ = maxTokens_;
+  }
+
   void OnFirstAttempt()
   {
     std::lock_guard lock(mutex_);
--- a/src/process/extra_attempt_share.cpp
+++ b/src/process/extra_attempt_share.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-/// Window for which the bounds hold.
-constexpr Micros kWindow = Seconds(10);
 /// Fraction of the shared bound on extra arrivals that the instances use. The rest allows for requests that an instance
 /// counts earlier or later than the targets do.
 constexpr double kShareFactor = 0.85;
 /// Fraction of the fixed part of that bound that the instances may hold as saved tokens. In any window an instance
 /// sends at most its saved tokens plus those earned in the window.
 constexpr double kSavedFactor = 0.75;
+/// Tokens that an instance may save in the first window: what one extra attempt takes.
+constexpr double kMaxTokensAtStart = 1;
 /// Fraction of the fixed part that is earned by use. The rest covers instances that restart with a full budget and
 /// rates that are reported late.
 constexpr double kByUseFactor = 0.2;
@@ -39,7 +39,7 @@
     return 0;
   }
   const double rate = std::max(aLoad.fleetRate_.value_, aLoad.ownRate_.value_ * static_cast<double>(aLoad.instances_));
-  const double inWindow = rate * std::chrono::duration<double>(kWindow).count();
+  const double inWindow = rate * std::chrono::duration<double>(kExtraAttemptWindow).count();
   const double growth =
     aLoad.ownUsualRate_.value_ > 0 ? std::max(1.0, aLoad.ownRate_.value_ / aLoad.ownUsualRate_.value_) : 1.0;
   const double tokens = kByUseFactor * aSlack / (inWindow * growth);
@@ -55,6 +55,10 @@
   const double byRequests = kShareFactor * aShare;
   share.perAttempt_ = std::max(byRequests, std::min(byRequests + TokensByUse(aSlack, aLoad), kMaxPerAttempt));
   share.maxTokens_ = kSavedFactor * aSlack / static_cast<double>(std::max<size_t>(aLoad.instances_, 1));
+  share.initialTokens_ = aLoad.hasJustStarted_ ? 0 : share.maxTokens_;
+  if (aLoad.hasJustStarted_) {
+    share.maxTokens_ = std::min(share.maxTokens_, kMaxTokensAtStart);
+  }
   share.hedgeQuantile_ = std::clamp(1 - kHedgeFactor * share.perAttempt_, kMinHedgeQuantile, kMaxHedgeQuantile);
   return share;
 }
--- a/src/process/pool_state.h
+++ b/src/process/pool_state.h
@@ -3,6 +3,7 @@
 
 #include "base/units.h"
 #include "process/extra_attempt_budget.h"
+#include "process/extra_attempt_share.h"
 
 #include <cstdint>
 #include <functional>
@@ -70,8 +71,8 @@
 /// Per-pool state of this instance.
 struct PoolState
 {
-  PoolState(double aExtraShare, double aMaxExtraTokens)
-    : extraBudget_(aExtraShare, aMaxExtraTokens)
+  explicit PoolState(const ExtraAttemptShare& aShare)
+    : extraBudget_(aShare.perAttempt_, aShare.maxTokens_, aShare.initialTokens_)
   {
   }
 
--- a/src/process/relay_directory.cpp
+++ b/src/process/relay_directory.cpp
@@ -15,15 +15,18 @@
     entries.insert_or_assign(slot.name_, Entry{ slot, isUnchanged ? known->second.changedAt_ : aNow });
   }
   entries_ = std::move(entries);
-  FleetSize size{ aNow, 0, {} };
+  size_t instances = 0;
+  double requestRate = 0;
   for (const auto& [name, entry] : entries_) {
     if (!IsExpired(entry, aNow)) {
-      size.instances_ += entry.slot_.served_;
-      size.requestRate_.value_ += entry.slot_.requestRate_.value_;
+      instances += entry.slot_.served_;
+      requestRate += entry.slot_.requestRate_.value_;
     }
   }
-  sizes_.push_back(size);
-  std::erase_if(sizes_, [aNow](const FleetSize& aSize) { return aNow - aSize.at_ > kHold; });
+  counts_.Forget(aNow);
+  counts_.Add(aNow, instances);
+  rates_.Forget(aNow);
+  rates_.Add(aNow, requestRate);
   std::erase_if(failedAt_, [aNow](const auto& aFailure) { return aNow - aFailure.second > kFailurePause; });
 }
 
@@ -76,26 +79,6 @@
   return best ? std::optional(best->second) : std::nullopt;
 }
 
-size_t
-RelayDirectory::InstanceCount(TimePoint aNow) const
-{
-  size_t largest = 0;
-  for (const FleetSize& size : sizes_) {
-    largest = aNow - size.at_ > kHold ? largest : std::max(largest, size.instances_);
-  }
-  return largest;
-}
-
-PerSecond
-RelayDirectory::RequestRate(TimePoint aNow) const
-{
-  PerSecond largest;
-  for (const FleetSize& size : sizes_) {
-    largest = aNow - size.at_ > kHold ? largest : std::max(largest, size.requestRate_);
-  }
-  return largest;
-}
-
 std::vector<RelaySlot>
 RelayDirectory::Slots() const
 {
--- a/src/process/relay_directory.h
+++ b/src/process/relay_directory.h
@@ -4,8 +4,8 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/units.h"
+#include "process/recent_maximum.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,8 +54,11 @@
   static constexpr Micros kExpiry = Seconds(25);
   /// Time for which a relay that did not answer is used only if there is no other.
   static constexpr Micros kFailurePause = Seconds(3);
-  /// Time for which a larger fleet is remembered. A restart of instances in turn takes less for each.
+  /// Time for which a larger rate of requests is remembered. A restart of instances in turn takes less for each.
   static constexpr Micros kHold = Seconds(30);
+  /// Time for which a larger fleet is remembered. Instances that are cut off from the store are not counted, but serve
+  /// callers and use their share of what the fleet may use.
+  static constexpr Micros kCountHold = Seconds(600);
 
   /// Replaces the known registrations.
   void Replace(const std::vector<RelaySlot>& aSlots, TimePoint aNow);
@@ -72,9 +75,9 @@
   /// Records that the relay at the address did not answer or was not current.
   void OnFailed(const PeerAddress& aAddress, TimePoint aNow) { failedAt_[aAddress] = aNow; }
   /// Number of instances that use the relays with a live registration, and the rate of requests to them: the largest
-  /// within kHold, because a relay that stops or has just started reports fewer than there are.
-  size_t InstanceCount(TimePoint aNow) const;
-  PerSecond RequestRate(TimePoint aNow) const;
+  /// within kCountHold and kHold, because a relay that stops or has just started reports fewer than there are.
+  size_t InstanceCount(TimePoint aNow) const { return counts_.At(aNow); }
+  PerSecond RequestRate(TimePoint aNow) const { return { rates_.At(aNow) }; }
   std::vector<RelaySlot> Slots() const;
 
 private:
@@ -84,19 +87,13 @@
     TimePoint changedAt_;
   };
 
-  struct FleetSize
-  {
-    TimePoint at_;
-    size_t instances_ = 0;
-    PerSecond requestRate_;
-  };
-
   static bool IsExpired(const Entry& aEntry, TimePoint aNow) { return aNow - aEntry.changedAt_ > kExpiry; }
 
   std::map<RelaySlotName, Entry> entries_;
   std::map<PeerAddress, TimePoint> failedAt_;
-  /// Sums over the live registrations at each update within kHold.
-  std::deque<FleetSize> sizes_;
+  /// Sums over the live registrations at each update.
+  RecentMaximum<size_t> counts_{ kCountHold };
+  RecentMaximum<double> rates_{ kHold };
 };
 
 } // namespace ibisrock
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -34,7 +34,9 @@
            aTargets,
            aSettings.dataCentre_,
            aPools,
-           ComputeExtraAttemptShare(aSettings.limits_.extraShare_, aSettings.limits_.extraSlack_, {}),
+           ComputeExtraAttemptShare(aSettings.limits_.extraShare_,
+                                    aSettings.limits_.extraSlack_,
+                                    { .instances_ = 1, .hasJustStarted_ = true }),
            aLog,
            {} };
 }
@@ -53,10 +55,12 @@
   , context_(MakeRoutingContext(settings_, aTimers, aRandom, aLink, targets_, pools_, aLog))
   , warmer_(aTimers, aRandom, aLink, targets_, settings_.dataCentre_)
 {
+  firstBudgetWindow_ = timers_.After(kExtraAttemptWindow, [this] { OnFirstBudgetWindowPassed(); });
 }
 
 Router::~Router()
 {
+  timers_.Cancel(firstBudgetWindow_);
   for (auto& [id, active] : runs_) {
     active.run_->OnCallerLeft();
   }
@@ -129,7 +133,7 @@
   const ExtraAttemptShare share =
     ComputeExtraAttemptShare(settings_.limits_.extraShare_,
                              settings_.limits_.extraSlack_,
-                             { instances_, fleetRate_, latestRate_.At(now), usualRate_.At(now) });
+                             { instances_, fleetRate_, latestRate_.At(now), usualRate_.At(now), hasJustStarted_ });
   if (share == context_.extraShare_) {
     return;
   }
@@ -139,6 +143,17 @@
   }
 }
 
+/// What an earlier process of this instance used of the fixed part of the bounds counts no more.
+void
+Router::OnFirstBudgetWindowPassed()
+{
+  hasJustStarted_ = false;
+  ApplyBudgets();
+  for (auto& [name, pool] : pools_) {
+    pool.extraBudget_.Fill();
+  }
+}
+
 /// Limits the calls in flight to the target to this instance's share of the connections of its pool.
 void
 Router::ApplyConnectionLimit(const TargetPtr& aTarget) const
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -103,6 +103,7 @@
   void ApplyConnectionLimit(const TargetPtr& aTarget) const;
   void ApplyConnectionLimits();
   void ApplyBudgets();
+  void OnFirstBudgetWindowPassed();
 
   RouterSettings settings_;
   TimerService& timers_;
@@ -112,6 +113,8 @@
   TargetLink& link_;
   TargetDirectory targets_;
   const TimePoint startedAt_;
+  bool hasJustStarted_ = true;
+  TimerId firstBudgetWindow_;
   ::ibisrock::RequestRate latestRate_;
   ::ibisrock::RequestRate usualRate_;
   PerSecond fleetRate_;
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -5,7 +5,6 @@
 #include "base/target_link.h"
 #include "base/timer_service.h"
 #include "process/attempt_log.h"
-#include "process/extra_attempt_share.h"
 #include "process/pool_state.h"
 #include "process/reply_lag.h"
 #include "process/route_state.h"
@@ -28,10 +27,7 @@
   AttemptLog* log_ = nullptr;
   ReplyLag replyLag_{};
 
-  PoolState& Pool(const PoolName& aName)
-  {
-    return pools_.try_emplace(aName, extraShare_.perAttempt_, extraShare_.maxTokens_).first->second;
-  }
+  PoolState& Pool(const PoolName& aName) { return pools_.try_emplace(aName, extraShare_).first->second; }
 };
 
 } // namespace ibisrock
--- a/tests/extra_attempt_share_test.cpp
+++ b/tests/extra_attempt_share_test.cpp
@@ -26,6 +26,8 @@
   double slack_;
   /// Factor of the rate in the last third of the time.
   double burst_;
+  /// All instances restart each time this has passed; never if it is zero.
+  Micros restartPeriod_{};
 };
 
 class ExtraAttemptsOfFleet : public testing::TestWithParam<FleetCase>
@@ -45,12 +47,21 @@
     std::unique_ptr<ExtraAttemptBudget> budget_;
     RequestRate latest_{ Seconds(5) };
     RequestRate usual_{ Seconds(30) };
+    TimePoint startedAt_{};
+    bool hasJustStarted_ = true;
   };
-  std::vector<Instance> instances(test.instances_);
-  const ExtraAttemptShare start = ComputeExtraAttemptShare(kShare, test.slack_, { test.instances_, {}, {}, {} });
-  for (Instance& instance : instances) {
-    instance.budget_ = std::make_unique<ExtraAttemptBudget>(start.perAttempt_, start.maxTokens_);
+  std::vector<std::unique_ptr<Instance>> instances(test.instances_);
+  const ExtraAttemptShare start = ComputeExtraAttemptShare(kShare, test.slack_, { test.instances_, {}, {}, {}, true });
+  const auto startInstance = [&start](std::unique_ptr<Instance>& aInstance, TimePoint aNow) {
+    aInstance = std::make_unique<Instance>();
+    aInstance->startedAt_ = aNow;
+    aInstance->budget_ =
+      std::make_unique<ExtraAttemptBudget>(start.perAttempt_, start.maxTokens_, start.initialTokens_);
+  };
+  for (auto& instance : instances) {
+    startInstance(instance, {});
   }
+  TimePoint nextRestart = TimePoint(test.restartPeriod_);
   std::deque<TimePoint> requests;
   std::deque<TimePoint> extras;
   TimePoint nextUpdate{};
@@ -59,19 +70,35 @@
   double worst = 0;
   for (TimePoint now{}; now < TimePoint(kDuration); now += kStep) {
     const bool bursts = now > TimePoint(2 * kDuration / 3);
+    if (test.restartPeriod_ > Micros::zero() && now >= nextRestart) {
+      nextRestart += test.restartPeriod_;
+      for (auto& instance : instances) {
+        startInstance(instance, now);
+      }
+    }
     if (now >= nextReport) {
       nextReport = now + kReportPeriod;
       reported = {};
-      for (const Instance& instance : instances) {
-        reported.value_ += instance.usual_.At(now).value_;
+      for (const auto& instance : instances) {
+        reported.value_ += instance->usual_.At(now).value_;
       }
     }
     if (now >= nextUpdate) {
       nextUpdate = now + Seconds(1);
-      for (Instance& instance : instances) {
-        const ExtraAttemptShare share = ComputeExtraAttemptShare(
-          kShare, test.slack_, { test.instances_, reported, instance.latest_.At(now), instance.usual_.At(now) });
-        instance.budget_->SetBounds(share.perAttempt_, share.maxTokens_);
+      for (const auto& instance : instances) {
+        const bool isFirstWindowOver = instance->hasJustStarted_ && now - instance->startedAt_ >= kExtraAttemptWindow;
+        instance->hasJustStarted_ = instance->hasJustStarted_ && !isFirstWindowOver;
+        const ExtraAttemptShare share = ComputeExtraAttemptShare(kShare,
+                                                                 test.slack_,
+                                                                 { test.instances_,
+                                                                   reported,
+                                                                   instance->latest_.At(now),
+                                                                   instance->usual_.At(now),
+                                                                   instance->hasJustStarted_ });
+        instance->budget_->SetBounds(share.perAttempt_, share.maxTokens_);
+        if (isFirstWindowOver) {
+          instance->budget_->Fill();
+        }
       }
     }
     const double expected = test.rate_ * (bursts ? test.burst_ : 1) * std::chrono::duration<double>(kStep).count();
@@ -79,7 +106,7 @@
     for (unsigned i = 0; i < arrivals; i++) {
       // Half of the requests go to a third of the instances.
       const size_t range = random.Unit() < 0.5 ? std::max<size_t>(test.instances_ / 3, 1) : test.instances_;
-      Instance& instance = instances[random.Below(static_cast<uint32_t>(range))];
+      Instance& instance = *instances[random.Below(static_cast<uint32_t>(range))];
       instance.latest_.Count(now);
       instance.usual_.Count(now);
       instance.budget_->OnFirstAttempt();
@@ -106,7 +133,12 @@
                                          FleetCase{ "GrownBurst", 79, 90, 198, 3 },
                                          FleetCase{ "Large", 295, 48, 630, 1 },
                                          FleetCase{ "LargeBurst", 295, 48, 630, 3 },
-                                         FleetCase{ "LargeNearlyIdle", 295, 5, 630, 1 }),
+                                         FleetCase{ "LargeNearlyIdle", 295, 5, 630, 1 },
+                                         FleetCase{ "RestartsInSeries", 7, 112, 54, 1, Seconds(3) },
+                                         FleetCase{ "RestartsInSeriesAtLowRate", 7, 22.5, 54, 1, Seconds(3) },
+                                         FleetCase{ "RestartsOnceAWindow", 7, 22.5, 54, 1, Seconds(10) },
+                                         FleetCase{ "RestartsAfterAWindow", 7, 22.5, 54, 1, Millis(10'500) },
+                                         FleetCase{ "RestartsOfLarge", 295, 48, 630, 1, Seconds(4) }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
 /// Guards against a large fleet that cannot hedge: with 1.6 requests a window for each instance, an equal part of the
--- a/tests/relay_directory_test.cpp
+++ b/tests/relay_directory_test.cpp
@@ -122,7 +122,7 @@
   EXPECT_EQ(directory.InstanceCount(kStart), 30U);
   const TimePoint later = kStart + RelayDirectory::kExpiry + Seconds(1);
   directory.Replace({ kFullRenewed[0], kFull[1], kFullRenewed[2] }, later);
-  const TimePoint muchLater = later + RelayDirectory::kHold + Seconds(1);
+  const TimePoint muchLater = later + RelayDirectory::kCountHold + Seconds(1);
   directory.Replace({ Slot(kHere, 0, "a", 21), kFull[1], Slot(kHere, 2, "c", 23) }, muchLater);
   EXPECT_EQ(directory.InstanceCount(muchLater), 20U);
 }
@@ -143,5 +143,19 @@
   EXPECT_EQ(directory.RequestRate(kStart + Seconds(5)), PerSecond{ 50 });
 }
 
+/// Guards against extra attempts and connections beyond what the fleet may use while some instances are cut off from
+/// the store for long: they are not counted any more, but go on serving.
+TEST(RelayDirectory, CountDoesNotFallWhileInstancesAreCutOff)
+{
+  RelayDirectory directory;
+  uint64_t revision = 10;
+  for (Seconds passed(0); passed < Seconds(180); passed += Seconds(10)) {
+    // Only one of the three relays renews its registration after the first list.
+    const RelaySlot renewed = Slot(kHere, 0, "a", revision++);
+    directory.Replace({ renewed, kFull[1], kFull[2] }, kStart + passed);
+    EXPECT_EQ(directory.InstanceCount(kStart + passed), 30U) << passed.count();
+  }
+}
+
 } // namespace
 } // namespace ibisrock
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -16,6 +16,8 @@
     : router_(std::move(aSettings), timers_, random_, link_, nullptr)
   {
     router_.SetDiscoveryCurrent(true);
+    // The budgets of extra attempts are whole after the first window.
+    timers_.Advance(kExtraAttemptWindow);
   }
 
   static RouterSettings DefaultSettings()
