Stop requests that crash the targets that run them

Cause: nothing remembered a request beyond its end. The crash guard of ibisrockd was not part of the entry instance, and instances told each other nothing. Class: a bound for the fleet that nobody keeps.

Fix: a run that ends without any answer, and after which its target cannot be reached, is a crash of its request. An answer clears it, so that requests that shared a target with it are not refused, and neither are those that lose connections to targets that live.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -255,11 +255,15 @@
   timers_.Cancel(found->second.timer_);
   Callback callback = std::move(found->second.callback_);
   OnReleased onReleased = std::move(found->second.onReleased_);
+  const auto onChecked = std::move(found->second.onChecked_);
   calls_.erase(found);
   if (callback) {
     callback(std::move(aOutcome));
   } else if (onReleased) {
     onReleased();
+  } else if (onChecked) {
+    // A target that takes no more connections is there.
+    onChecked(aOutcome.reason_ != Reason::ConnectFailed);
   }
 }
 
@@ -301,6 +305,15 @@
   OpenFor(lastId_, call);
 }
 
+void
+HttpTargetLink::CheckReachable(const TargetName& aTarget,
+                               const TargetAddress& aAddress,
+                               std::function<void(bool aIsReachable)> aOnChecked)
+{
+  OpenIdleConnection(aTarget, aAddress);
+  calls_.at(lastId_).onChecked_ = std::move(aOnChecked);
+}
+
 void
 HttpTargetLink::Forget(const TargetName& aTarget)
 {
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -24,6 +24,9 @@
   void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) override;
   bool HasIdleConnection(const TargetName& aTarget) const override;
   void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) override;
+  void CheckReachable(const TargetName& aTarget,
+                      const TargetAddress& aAddress,
+                      std::function<void(bool aIsReachable)> aOnChecked) override;
   void Forget(const TargetName& aTarget) override;
 
   uint64_t ConnectionsOpened() const { return connectionsOpened_; }
@@ -40,6 +43,7 @@
     Callback callback_;
     /// Set when the call was abandoned and still holds its connection.
     OnReleased onReleased_;
+    std::function<void(bool)> onChecked_;
     TimerId timer_;
     bool sent_ = false;
   };
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -62,6 +62,10 @@
   virtual bool HasIdleConnection(const TargetName& aTarget) const = 0;
   /// Opens a connection for a later call. Without success nothing happens.
   virtual void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) = 0;
+  /// Opens a connection and tells whether that was possible. It is kept for a later call.
+  virtual void CheckReachable(const TargetName& aTarget,
+                              const TargetAddress& aAddress,
+                              std::function<void(bool aIsReachable)> aOnChecked) = 0;
   /// Closes the idle connections to a target that is gone.
   virtual void Forget(const TargetName& aTarget) = 0;
 };
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -38,7 +38,8 @@
                                     aSettings.limits_.extraSlack_,
                                     { .instances_ = 1, .hasJustStarted_ = true }),
            aLog,
-           {} };
+           {},
+           std::make_shared<CrashHistory>(aTimers) };
 }
 
 } // namespace
@@ -193,6 +194,11 @@
     Refuse(*aRequest, discoveryCurrent_ ? 404 : 503, Reason::UnknownService, aOnReply);
     return RunId();
   }
+  const CrashPrecaution precaution = context_.crashes_->Check(*aRequest);
+  if (precaution == CrashPrecaution::Refuse) {
+    Refuse(*aRequest, 503, Reason::CrashSuspect, aOnReply, context_.crashes_->RefusedFor(*aRequest));
+    return RunId();
+  }
   const AnswerTiming timing =
     ComputeAnswerTiming(*route, *aRequest, { settings_.limits_.callerDelay_, context_.replyLag_.ReservedTime() });
   if (timing.deadline_ <= timers_.Now()) {
@@ -202,7 +208,7 @@
   lastRun_ = lastRun_.Next();
   const RunId id = lastRun_;
   RouteState& state = routeStates_[route->name_];
-  auto run = RoutedRun::Create({ context_, table_, *route, state, aRequest, timing },
+  auto run = RoutedRun::Create({ context_, table_, *route, state, aRequest, timing, precaution },
                                [this, id](RunResult aEnd) { OnRunEnd(id, std::move(aEnd)); });
   RoutedRun& started = *run;
   runs_.emplace(id, ActiveRun{ std::move(run), std::move(aRequest), std::move(aOnReply) });
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -63,6 +63,8 @@
   void SetInstanceCount(size_t aCount);
   /// Sets the rate of requests to all instances together, as relays report it.
   void SetFleetRate(PerSecond aRate);
+  /// Requests that have crashed targets.
+  CrashHistory& Crashes() { return *context_.crashes_; }
   /// This instance's share of the extra attempts.
   const ExtraAttemptShare& ExtraShare() const { return context_.extraShare_; }
   /// Usual rate of requests to this instance.
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -5,11 +5,14 @@
 #include "base/target_link.h"
 #include "base/timer_service.h"
 #include "process/attempt_log.h"
+#include "process/crash_history.h"
 #include "process/pool_state.h"
 #include "process/reply_lag.h"
 #include "process/route_state.h"
 #include "process/target_directory.h"
 
+#include <memory>
+
 namespace ibisrock {
 
 /// State shared by all runs of a router. Everything referenced here outlives the runs.
@@ -26,6 +29,8 @@
   /// May be null.
   AttemptLog* log_ = nullptr;
   ReplyLag replyLag_{};
+  /// Requests that have crashed targets. Checks of targets may end after the router.
+  std::shared_ptr<CrashHistory> crashes_{};
 
   PoolState& Pool(const PoolName& aName) { return pools_.try_emplace(aName, extraShare_).first->second; }
 };
--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -39,22 +39,35 @@
   if (RefuseIfDeadlineUnreachable()) {
     return;
   }
-  for (const auto& call : calls_) {
-    if (call->Start() != PoolCall::State::GivenUp) {
-      pending_++;
-    }
-  }
+  // A request that may crash its targets runs on one shard first, and on the others after that one has replied.
+  StartCalls(precaution_ == CrashPrecaution::None ? calls_.size() : 1);
   started_ = true;
   StartTimers();
   EndIfSettled();
 }
 
+/// Starts calls until aCount of them are pending.
+void
+GatherRun::StartCalls(size_t aCount)
+{
+  for (size_t started = 0; started < aCount && next_ < calls_.size(); next_++) {
+    if (calls_[next_]->Start() != PoolCall::State::GivenUp) {
+      pending_++;
+      started++;
+    }
+  }
+}
+
 void
 GatherRun::OnPoolCallEnded(size_t aIndex)
 {
   pending_--;
   if (calls_[aIndex]->CurrentState() == PoolCall::State::Replied) {
     covered_++;
+    StartCalls(calls_.size());
+  } else if (next_ < calls_.size()) {
+    EndWithFailure(Reason::CrashSuspect);
+    return;
   }
   EndIfSettled();
 }
@@ -80,9 +93,9 @@
   if (!started_) {
     return;
   }
-  if (!MeetsCoverage(covered_ + pending_)) {
+  if (!MeetsCoverage(covered_ + pending_ + calls_.size() - next_)) {
     EndWithFailure(Reason::NoReplica);
-  } else if (pending_ == 0 || (MeetsCoverage(covered_) && HasPassed(timing_.cutoff_))) {
+  } else if ((pending_ == 0 && next_ == calls_.size()) || (MeetsCoverage(covered_) && HasPassed(timing_.cutoff_))) {
     EndWithParts();
   }
 }
--- a/src/request/gather_run.h
+++ b/src/request/gather_run.h
@@ -23,6 +23,7 @@
 
   size_t NeededCalls() const override;
   bool MeetsCoverage(size_t aShards) const;
+  void StartCalls(size_t aCount);
   void EndIfSettled();
   void EndWithParts();
   void EndWithFailure(Reason aReason);
@@ -30,6 +31,8 @@
   std::vector<std::unique_ptr<PoolCall>> calls_;
   size_t covered_ = 0;
   size_t pending_ = 0;
+  /// Calls that have been started or given up.
+  size_t next_ = 0;
   bool started_ = false;
 };
 
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -170,7 +170,7 @@
 void
 PoolCall::Hedge()
 {
-  if (state_ != State::InFlight || !MayRepeat() || tried_.size() >= scope_.route_.maxTargets_) {
+  if (state_ != State::InFlight || !MayRepeat() || tried_.size() >= scope_.maxTargets_) {
     return;
   }
   ExtraAttemptBudget& budget = scope_.context_.Pool(pool_).extraBudget_;
@@ -241,6 +241,9 @@
   } else {
     aAttempt.target_->OnFailure(aAttempt.id_, now);
   }
+  if (aOutcome.reason_ == Reason::ConnectionLost) {
+    lostTarget_ = aAttempt.target_;
+  }
   if (aAttempt.extra_ && NeverReachedTarget(aOutcome.reason_)) {
     scope_.context_.Pool(pool_).extraBudget_.Refund();
   }
@@ -262,8 +265,7 @@
 void
 PoolCall::OnFailedAttempt(bool aWasExtra)
 {
-  const bool mayRetry =
-    tried_.size() < scope_.route_.maxTargets_ && (MayRepeat() || CombinedVerdict() == Verdict::NotRun);
+  const bool mayRetry = tried_.size() < scope_.maxTargets_ && (MayRepeat() || CombinedVerdict() == Verdict::NotRun);
   if (!(mayRetry && Retry(aWasExtra)) && attempts_.empty()) {
     GiveUp();
   }
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -23,6 +23,8 @@
   TimePoint deadline_;
   /// Time after which a reply misses the route's objective.
   TimePoint objectiveEnds_;
+  /// Number of targets of a pool to which the request may be sent.
+  unsigned maxTargets_;
 };
 
 /// Obtains one reply to a request from a pool: selects targets, retries, hedges, and queues while all targets are at
@@ -71,6 +73,8 @@
   Reason LastReason() const { return lastReason_; }
   const PoolName& Pool() const { return pool_; }
   size_t AttemptCount() const { return sent_; }
+  /// The target that closed its connection without a reply last, if any did.
+  const TargetPtr& LostTarget() const { return lostTarget_; }
 
 private:
   struct Attempt
@@ -108,6 +112,7 @@
   size_t sent_ = 0;
   std::optional<PendingCallQueue::Position> queuePosition_;
   std::optional<TargetOutcome> reply_;
+  TargetPtr lostTarget_;
   Verdict verdict_ = Verdict::NotRun;
   Reason lastReason_ = Reason::None;
 };
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -35,8 +35,15 @@
 
 RoutedRun::RoutedRun(const Plan& aPlan, EndCallback aOnEnd)
   : table_(aPlan.table_)
-  , scope_{ aPlan.context_, aPlan.route_, aPlan.state_, aPlan.request_, aPlan.timing_.deadline_, aPlan.timing_.cutoff_ }
+  , scope_{ aPlan.context_,
+            aPlan.route_,
+            aPlan.state_,
+            aPlan.request_,
+            aPlan.timing_.deadline_,
+            aPlan.timing_.cutoff_,
+            aPlan.precaution_ == CrashPrecaution::None ? aPlan.route_.maxTargets_ : 1 }
   , timing_(aPlan.timing_)
+  , precaution_(aPlan.precaution_)
   , onEnd_(std::move(aOnEnd))
 {
 }
@@ -175,6 +182,30 @@
   }
 }
 
+/// Tells the crash history that a target has answered or, without any answer, which targets may have crashed.
+void
+RoutedRun::ReportToCrashHistory()
+{
+  RoutingContext& context = scope_.context_;
+  const auto& calls = Calls();
+  if (std::any_of(calls.begin(), calls.end(), [](const auto& aCall) { return aCall->Reply().has_value(); })) {
+    context.crashes_->OnAnswered(*scope_.request_);
+    return;
+  }
+  const auto lost =
+    std::find_if(calls.begin(), calls.end(), [](const auto& aCall) { return aCall->LostTarget() != nullptr; });
+  if (lost == calls.end()) {
+    return;
+  }
+  const TargetRecord& target = (*lost)->LostTarget()->Record();
+  context.link_.CheckReachable(
+    target.name_, target.address_, [crashes = context.crashes_, request = scope_.request_](bool aIsReachable) {
+      if (!aIsReachable) {
+        crashes->OnCrash(*request, request->receivedAt_);
+      }
+    });
+}
+
 void
 RoutedRun::Finish(CallerReply aReply, Verdict aVerdict, Reason aReason)
 {
@@ -193,6 +224,7 @@
     result.attempts_ += call->AttemptCount();
     result.extraAttempts_ += call->AttemptCount() > 1 ? call->AttemptCount() - 1 : 0;
   }
+  ReportToCrashHistory();
   onEnd_(std::move(result));
 }
 
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -38,6 +38,7 @@
     RouteState& state_;
     std::shared_ptr<const CallerRequest> request_;
     AnswerTiming timing_;
+    CrashPrecaution precaution_ = CrashPrecaution::None;
   };
 
   /// Creates a run of the route's type: relayed to one pool, or gathered from many.
@@ -90,10 +91,12 @@
   const std::shared_ptr<const RouteTable> table_;
   const RunScope scope_;
   const AnswerTiming timing_;
+  const CrashPrecaution precaution_;
 
 private:
   void ScheduleAt(TimePoint aTime, void (RoutedRun::*aHandler)());
   void CancelTimers();
+  void ReportToCrashHistory();
 
   const EndCallback onEnd_;
   std::vector<TimerId> timers_;
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -57,6 +57,11 @@
     opened_.push_back(aTarget.Value());
   }
 
+  void CheckReachable(const TargetName& aTarget, const TargetAddress&, std::function<void(bool)> aOnChecked) override
+  {
+    aOnChecked(!unreachable_.contains(aTarget.Value()));
+  }
+
   void Forget(const TargetName& aTarget) override { forgotten_.push_back(aTarget.Value()); }
 
   /// Ends call number aIndex; of an abandoned one only its connection becomes free.
@@ -87,6 +92,8 @@
   /// Names of the targets to which idle connections were opened, in order.
   std::vector<std::string> opened_;
   std::vector<std::string> forgotten_;
+  /// Targets to which no connection can be made.
+  std::set<std::string> unreachable_;
   /// Targets with an idle connection.
   std::set<std::string> connected_;
 };
