Act at once on a target's word that it leaves or wants a pause

Targets may say in any answer that they leave, and a target that turns a request away with 503 may say for how long it wants nothing more. Neither was read: a leaving target got requests until the store's word arrived, which may be late or missing while the store is away, and one that asked for a pause got the next request at once.

The link reports such a notice for each answer, also of a hedge that lost, of a refusal, and of an answer to another request. A leaving target gets nothing more; a pausing one gets nothing until the end of its pause and up to 200 ms more, so that instances do not return together, and then one call at a time until its replies raise its limit. Both hold for the incarnation that has said it, whatever lists, older entries or a lapse of its entry say. Requests wait for a pause that ends within their time. If all targets pause for longer, they are refused at once with the time until the first of them is back.

Log line target_notice, counter ibisrock_target_notices_total.

--- a/src/adapters/header_names.h
+++ b/src/adapters/header_names.h
@@ -19,6 +19,8 @@
   std::string expectedTarget_ = "Ibisrock-Target";
   /// A target's statement that it has not run the request.
   std::string notRun_ = "Ibisrock-Not-Run";
+  /// A target's statement that it leaves.
+  std::string leaving_ = "Ibisrock-Leaving";
   /// A target's proof that a reply is its own.
   std::string stamp_ = "Ibisrock-Stamp";
   /// Stamps of the parts of a gathered answer.
--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http_target_link.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace ibisrock::adapters {
 
@@ -20,6 +21,20 @@
 /// Keep-alive time of targets that state none.
 constexpr Micros kDefaultKeepAlive = Seconds(20);
 
+/// Reads a number of seconds with an optional fraction. What is not one, or not positive, says nothing.
+std::optional<Micros>
+ParseSeconds(std::string_view aText)
+{
+  constexpr double kMaxSeconds = 86'400;
+  double seconds = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), seconds, std::chars_format::fixed);
+  if (error != std::errc() || end != aText.data() + aText.size() || !(seconds > 0)) {
+    return std::nullopt;
+  }
+  return Micros(static_cast<Micros::rep>(1e6 * std::min(seconds, kMaxSeconds)));
+}
+
 TargetOutcome
 MakeFailure(Verdict aVerdict, Reason aReason)
 {
@@ -151,9 +166,11 @@
 HttpTargetLink::Write(CallId aId, Call& aCall)
 {
   aCall.sent_ = true;
-  auto belongs = [this, id = aCall.call_.request_->id_](const ServerReply& aReply) {
+  auto belongs = [this, aId](const ServerReply& aReply) {
+    const TargetCall& call = calls_.at(aId).call_;
+    TakeNotice(call, aReply);
     const std::string_view echoed = aReply.Field(names_.requestId_);
-    return echoed.empty() || echoed == id;
+    return echoed.empty() || echoed == call.request_->id_;
   };
   aCall.connection_->Exchange(
     MakeRequest(aCall), std::move(belongs), [this, aId](std::optional<ServerReply> aReply, const LastReason&) {
@@ -208,6 +225,21 @@
   End(aId, Judge(std::move(*aReply)));
 }
 
+/// A reply with status 421 comes from another target at the same address.
+void
+HttpTargetLink::TakeNotice(const TargetCall& aCall, const ServerReply& aReply) const
+{
+  if (!onNotice_ || aReply.status_ == 421) {
+    return;
+  }
+  TargetNotice notice;
+  notice.isLeaving_ = aReply.Field(names_.leaving_) == "1";
+  notice.pause_ = aReply.status_ == 503 ? ParseSeconds(aReply.Field("Retry-After")) : std::nullopt;
+  if (notice.isLeaving_ || notice.pause_) {
+    onNotice_(aCall, notice);
+  }
+}
+
 /// Whether a success lacks the id although the target echoes ids. It may be a late copy of an earlier answer. A refusal
 /// may come before the target has read the id.
 bool
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -29,6 +29,8 @@
                       std::function<void(bool aIsReachable)> aOnChecked) override;
   void Forget(const TargetName& aTarget) override;
 
+  void SetOnNotice(OnNotice aOnNotice) override { onNotice_ = std::move(aOnNotice); }
+
   uint64_t ConnectionsOpened() const { return connectionsOpened_; }
 
 private:
@@ -61,6 +63,7 @@
   void OnConnectTimeout(CallId aId);
   void Write(CallId aId, Call& aCall);
   void OnReply(CallId aId, std::optional<ServerReply> aReply);
+  void TakeNotice(const TargetCall& aCall, const ServerReply& aReply) const;
   bool IsIdMissing(const TargetName& aTarget, const ServerReply& aReply);
   void End(CallId aId, TargetOutcome aOutcome);
   RequestText MakeRequest(const Call& aCall) const;
@@ -69,6 +72,7 @@
   boost::asio::io_context& loop_;
   TimerService& timers_;
   const HeaderNames names_;
+  OnNotice onNotice_;
   std::unordered_map<CallId, Call> calls_;
   std::unordered_map<TargetName, std::vector<IdleConnection>> idle_;
   CallId lastId_;
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -3,10 +3,12 @@
 
 #include "base/http_message.h"
 #include "base/ids.h"
+#include "base/units.h"
 #include "base/verdict.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,8 @@
   std::shared_ptr<const CallerRequest> request_;
   /// Time that the target may use; it stops work after it.
   Micros timeLeft_{};
+  /// Start time of the target that is meant, by which its incarnations differ.
+  uint64_t targetStartedAt_ = 0;
 };
 
 /// Outcome of a call. With Verdict::Ran the reply is complete and belongs to the request.
@@ -35,6 +39,15 @@
   std::shared_ptr<const std::string> body_;
 };
 
+/// What a target says of itself beside an answer.
+struct TargetNotice
+{
+  /// It leaves, and wants no new requests.
+  bool isLeaving_ = false;
+  /// It has turned a request away and wants nothing from this instance for so long.
+  std::optional<Micros> pause_;
+};
+
 /// What becomes of a call whose outcome is no longer wanted.
 enum class Abandon : uint8_t
 {
@@ -51,8 +64,13 @@
   using Callback = std::function<void(TargetOutcome)>;
   using OnReleased = std::function<void()>;
 
+  /// Told of each answer in which a target says something of itself, also if nobody wants the outcome any more.
+  using OnNotice = std::function<void(const TargetCall&, const TargetNotice&)>;
+
   virtual ~TargetLink() = default;
 
+  virtual void SetOnNotice(OnNotice aOnNotice) = 0;
+
   /// Starts a call. aCallback is called once, never from within Send, unless the call is abandoned first.
   virtual CallId Send(const TargetCall& aCall, Callback aCallback) = 0;
   /// Gives up the outcome of a call. aOnReleased is called once, possibly from within AbandonCall, when the call holds
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -36,6 +36,11 @@
                                                                .Name("ibisrock_failed_attempts_total")
                                                                .Help("Attempts without a usable reply, by reason")
                                                                .Register(registry_);
+  prometheus::Family<prometheus::Counter>& notices_ =
+    prometheus::BuildCounter()
+      .Name("ibisrock_target_notices_total")
+      .Help("Answers in which a target said that it leaves, or asked for a pause")
+      .Register(registry_);
   prometheus::Counter& callersLeft_ = AddCounter("ibisrock_callers_left_total", "Callers that left before the answer");
   prometheus::Counter& abandonedWaits_ =
     AddCounter("ibisrock_hopeless_waits_total", "Requests ended because they would not find room in time");
@@ -108,6 +113,17 @@
   impl_->failedAttempts_.Add({ { "reason", std::string(ToString(aAttempt.reason_)) } }).Increment();
 }
 
+void
+EntryMetrics::OnNotice(const TargetCall&, const TargetNotice& aNotice)
+{
+  if (aNotice.isLeaving_) {
+    impl_->notices_.Add({ { "kind", "leaving" } }).Increment();
+  }
+  if (aNotice.pause_) {
+    impl_->notices_.Add({ { "kind", "pause" } }).Increment();
+  }
+}
+
 void
 EntryMetrics::OnCallerLeft(const CallerRequest&, const Route&, Micros)
 {
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -16,10 +16,11 @@
   kCallerLeft,
   kAttemptFailed,
   kAbandonedWait,
+  kNotice,
   kLineKindCount,
 };
 
-/// Maximum number of lines of each kind in 10 s. Limits an instance to 56 lines (about 12 KB) per second.
+/// Maximum number of lines of each kind in 10 s. Limits an instance to 64 lines (about 14 KB) per second.
 constexpr unsigned kLinesPerPeriod = 80;
 
 std::string
@@ -118,6 +119,19 @@
   });
 }
 
+void
+RequestLog::OnNotice(const TargetCall& aCall, const TargetNotice& aNotice)
+{
+  log_.Write(LogLevel::Info, kNotice, [&] {
+    std::string text = "event=target_notice request=" + aCall.request_->id_ + " target=" + aCall.target_.Value() +
+                       " leaving=" + (aNotice.isLeaving_ ? "yes" : "no");
+    if (aNotice.pause_) {
+      text += " pause=" + FormatMillis(*aNotice.pause_);
+    }
+    return text;
+  });
+}
+
 void
 RequestLog::OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aDuration)
 {
--- a/src/entry/request_log.h
+++ b/src/entry/request_log.h
@@ -21,6 +21,7 @@
                   Micros aDuration) override;
   void OnAbandonedWait(const AbandonedWait& aWait) override;
   void OnAttemptFailed(const FailedAttempt& aAttempt) override;
+  void OnNotice(const TargetCall& aCall, const TargetNotice& aNotice) override;
   void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aDuration) override;
 
 private:
--- a/src/entry/router_logs.h
+++ b/src/entry/router_logs.h
@@ -49,6 +49,13 @@
     }
   }
 
+  void OnNotice(const TargetCall& aCall, const TargetNotice& aNotice) override
+  {
+    for (RouterLog* log : logs_) {
+      log->OnNotice(aCall, aNotice);
+    }
+  }
+
   void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aDuration) override
   {
     for (RouterLog* log : logs_) {
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -16,6 +16,8 @@
 constexpr double kFleetRateDecay = 0.97;
 /// After the start neither the reported nor the own rate is known well.
 constexpr Micros kRateSettleTime = Seconds(20);
+/// Time over which instances return to a target that has turned them away.
+constexpr Micros kPauseSpread = Millis(200);
 /// Concurrency limit of a target whose pool does not set a maximum number of connections.
 constexpr unsigned kDefaultConnectionLimit = 8;
 
@@ -56,12 +58,14 @@
   , context_(MakeRoutingContext(settings_, aTimers, aRandom, aLink, targets_, pools_, aLog))
   , warmer_(aTimers, aRandom, aLink, targets_, settings_.dataCentre_)
 {
+  link_.SetOnNotice([this](const TargetCall& aCall, const TargetNotice& aNotice) { OnNotice(aCall, aNotice); });
   firstBudgetWindow_ = timers_.After(kExtraAttemptWindow, [this] { OnFirstBudgetWindowPassed(); });
 }
 
 Router::~Router()
 {
   timers_.Cancel(firstBudgetWindow_);
+  link_.SetOnNotice(nullptr);
   for (auto& [id, active] : runs_) {
     active.run_->OnCallerLeft();
   }
@@ -144,6 +148,29 @@
   }
 }
 
+/// Acts at once on what a target says of itself; discovery tells it later, or not at all.
+void
+Router::OnNotice(const TargetCall& aCall, const TargetNotice& aNotice)
+{
+  TargetNotice notice = aNotice;
+  if (notice.pause_) {
+    // Instances that were turned away together do not return together.
+    *notice.pause_ += Scale(kPauseSpread, context_.random_.Unit());
+  }
+  const TargetPtr target = targets_.TakeNotice(aCall.target_, aCall.targetStartedAt_, notice);
+  if (!target) {
+    return;
+  }
+  if (log_ != nullptr) {
+    log_->OnNotice(aCall, aNotice);
+  }
+  if (notice.pause_) {
+    timers_.After(target->PauseEnd() - timers_.Now(), [this, pool = target->Record().pool_] {
+      context_.Pool(pool).pendingCalls_.OnCapacityAvailable(timers_.Now());
+    });
+  }
+}
+
 /// What an earlier process of this instance used of the fixed part of the bounds counts no more.
 void
 Router::OnFirstBudgetWindowPassed()
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -104,6 +104,7 @@
   void DestroyLater(std::unique_ptr<RoutedRun> aRun);
   void ApplyConnectionLimit(const TargetPtr& aTarget) const;
   void ApplyConnectionLimits();
+  void OnNotice(const TargetCall& aCall, const TargetNotice& aNotice);
   void ApplyBudgets();
   void OnFirstBudgetWindowPassed();
 
--- a/src/process/router_log.h
+++ b/src/process/router_log.h
@@ -18,6 +18,8 @@
                           ConfigVersion aRoutes,
                           const RunResult& aEnd,
                           Micros aDuration) = 0;
+  /// A target has said something of itself in its answer to a call.
+  virtual void OnNotice(const TargetCall& aCall, const TargetNotice& aNotice) = 0;
   /// The caller closed its connection before the reply.
   virtual void OnCallerLeft(const CallerRequest& aRequest, const Route& aRoute, Micros aDuration) = 0;
 };
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -60,6 +60,7 @@
     backOff_ = {};
     saturatedUntil_ = {};
     saturationBackOff_ = {};
+    pauseEnd_ = {};
   }
   record_ = aRecord;
   warmUpEnd_ = aNow + aRecord.warmUpLeft_;
@@ -127,6 +128,13 @@
   return saturatedUntil_ - aNow;
 }
 
+void
+Target::PauseUntil(TimePoint aEnd)
+{
+  pauseEnd_ = std::max(pauseEnd_, aEnd);
+  inFlightLimit_ = 1;
+}
+
 void
 Target::OnAbandoned(CallId aCall, TimePoint aNow, Micros aTook, Micros aExpected)
 {
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -47,12 +47,17 @@
   /// connections halve it, replies raise it again.
   bool HasCapacity(TimePoint aNow) const
   {
-    return aNow >= saturatedUntil_ && inFlight_.size() < static_cast<size_t>(inFlightLimit_);
+    return aNow >= saturatedUntil_ && !IsPaused(aNow) && inFlight_.size() < static_cast<size_t>(inFlightLimit_);
   }
   size_t InFlight() const { return inFlight_.size(); }
   /// Current adaptive limit on calls in flight.
   double InFlightLimit() const { return inFlightLimit_; }
 
+  /// Ends the calls to the target until aEnd, because it asked for that. Afterwards the load rises with its replies.
+  void PauseUntil(TimePoint aEnd);
+  bool IsPaused(TimePoint aNow) const { return aNow < pauseEnd_; }
+  TimePoint PauseEnd() const { return pauseEnd_; }
+
   /// Whether calls are held back after failures to connect. After each back-off, one call may try again.
   bool IsBackingOff(TimePoint aNow) const { return aNow < backOffUntil_; }
 
@@ -109,6 +114,7 @@
   TimePoint backOffUntil_{};
   Micros backOff_{};
   TimePoint saturatedUntil_{};
+  TimePoint pauseEnd_{};
   Micros saturationBackOff_{};
 };
 
--- a/src/process/target_choice.cpp
+++ b/src/process/target_choice.cpp
@@ -44,7 +44,8 @@
   TargetChoice choice;
   double best = 0;
   for (const TargetPtr& target : aTargets) {
-    if (target->IsRemoved() || target->IsBackingOff(aContext.now_) || IsExcluded(*target, aContext)) {
+    const bool pausesTooLong = target->IsPaused(aContext.now_) && target->PauseEnd() >= aContext.deadline_;
+    if (target->IsRemoved() || target->IsBackingOff(aContext.now_) || pausesTooLong || IsExcluded(*target, aContext)) {
       continue;
     }
     if (!target->HasCapacity(aContext.now_)) {
--- a/src/process/target_choice.h
+++ b/src/process/target_choice.h
@@ -21,6 +21,8 @@
   const TargetLink& link_;
   /// Targets to which the request was already sent.
   std::span<const TargetName> excluded_;
+  /// Time after which a reply is useless.
+  TimePoint deadline_ = TimePoint::max();
 };
 
 struct TargetChoice
--- a/src/process/target_directory.cpp
+++ b/src/process/target_directory.cpp
@@ -51,10 +51,12 @@
 TargetDirectory::Upsert(const TargetRecord& aRecord)
 {
   retained_.erase(aRecord.name_);
+  notices_.OnRecord(aRecord);
   auto found = byName_.find(aRecord.name_);
   if (found == byName_.end()) {
     auto target = std::make_shared<Target>(aRecord, timers_.Now());
     byName_.emplace(aRecord.name_, target);
+    ApplyNotices(target);
     AddToPool(target);
     return;
   }
@@ -88,10 +90,34 @@
   return found == byPool_.end() ? std::span<const TargetPtr>() : found->second;
 }
 
+TargetPtr
+TargetDirectory::TakeNotice(const TargetName& aName, uint64_t aStartedAt, const TargetNotice& aNotice)
+{
+  auto found = byName_.find(aName);
+  if (found == byName_.end() || found->second->Record().startedAt_ != aStartedAt) {
+    return nullptr;
+  }
+  TargetPtr target = found->second;
+  notices_.Add(target->Record(), aNotice, timers_.Now());
+  RemoveFromPool(target);
+  ApplyNotices(target);
+  AddToPool(target);
+  return target;
+}
+
+void
+TargetDirectory::ApplyNotices(const TargetPtr& aTarget)
+{
+  const TimePoint pauseEnd = notices_.PauseEnd(aTarget->Record());
+  if (pauseEnd > timers_.Now()) {
+    aTarget->PauseUntil(pauseEnd);
+  }
+}
+
 void
 TargetDirectory::AddToPool(const TargetPtr& aTarget)
 {
-  if (!aTarget->Record().isLeaving_) {
+  if (!aTarget->Record().isLeaving_ && !notices_.IsLeaving(aTarget->Record())) {
     byPool_[aTarget->Record().pool_].push_back(aTarget);
   }
 }
--- a/src/process/target_directory.h
+++ b/src/process/target_directory.h
@@ -3,6 +3,7 @@
 
 #include "base/timer_service.h"
 #include "process/target_choice.h"
+#include "process/target_notices.h"
 
 #include <functional>
 #include <span>
@@ -30,6 +31,10 @@
   void Upsert(const TargetRecord& aRecord);
   void Remove(const TargetName& aName);
 
+  /// Takes what a target has said of itself. aStartedAt tells which incarnation has said it; another one than the known
+  /// is passed over. Returns the target, or null.
+  TargetPtr TakeNotice(const TargetName& aName, uint64_t aStartedAt, const TargetNotice& aNotice);
+
   /// Targets of the pool that accept new calls, in unspecified order.
   std::span<const TargetPtr> TargetsOf(const PoolName& aPool) const;
   template<typename Visitor>
@@ -45,9 +50,11 @@
   void Retain(const TargetName& aName);
   void AddToPool(const TargetPtr& aTarget);
   void RemoveFromPool(const TargetPtr& aTarget);
+  void ApplyNotices(const TargetPtr& aTarget);
 
   TimerService& timers_;
   const OnRemovedOrRestarted onRemovedOrRestarted_;
+  TargetNotices notices_;
   std::unordered_map<TargetName, TargetPtr> byName_;
   std::unordered_map<PoolName, std::vector<TargetPtr>> byPool_;
   /// Targets that were missing after a discovery outage and have not registered again.
--- a/src/request/gather_run.cpp
+++ b/src/request/gather_run.cpp
@@ -164,7 +164,7 @@
 GatherRun::EndWithFailure(Reason aReason)
 {
   const Verdict verdict = CombinedVerdict();
-  Finish(MakeFailureReply(verdict, aReason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, aReason);
+  Finish(MakeFailureReply(verdict, aReason, HasPassed(timing_.deadline_), RetryAfterGivenUp()), verdict, aReason);
 }
 
 } // namespace ibisrock
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -76,7 +76,7 @@
       WaitForCapacity();
     } else {
       state_ = State::GivenUp;
-      lastReason_ = Reason::NoReplica;
+      lastReason_ = PauseLeft() ? Reason::Overloaded : Reason::NoReplica;
     }
   }
   return state_;
@@ -87,7 +87,7 @@
 {
   RoutingContext& context = scope_.context_;
   return ChooseTarget(context.targets_.TargetsOf(pool_),
-                      { context.timers_.Now(), context.dataCentre_, context.link_, tried_ },
+                      { context.timers_.Now(), context.dataCentre_, context.link_, tried_, scope_.deadline_ },
                       context.random_);
 }
 
@@ -104,7 +104,11 @@
   if (!target) {
     return false;
   }
-  const TargetCall call{ target->Record().name_, target->Record().address_, scope_.request_, scope_.deadline_ - now };
+  const TargetCall call{ target->Record().name_,
+                         target->Record().address_,
+                         scope_.request_,
+                         scope_.deadline_ - now,
+                         target->Record().startedAt_ };
   auto id = std::make_shared<CallId>();
   *id = context.link_.Send(call, [this, id](TargetOutcome aOutcome) { OnOutcome(*id, std::move(aOutcome)); });
   const Micros expected = ExpectedLatency();
@@ -125,6 +129,20 @@
     context.timers_.Now(), scope_.route_.priority_, scope_.objectiveEnds_, [this] { return SendFromQueue(); });
 }
 
+std::optional<Micros>
+PoolCall::PauseLeft() const
+{
+  const TimePoint now = scope_.context_.timers_.Now();
+  std::optional<Micros> earliest;
+  for (const TargetPtr& target : scope_.context_.targets_.TargetsOf(pool_)) {
+    if (!target->IsPaused(now)) {
+      return std::nullopt;
+    }
+    earliest = std::min<Micros>(earliest.value_or(Micros::max()), target->PauseEnd() - now);
+  }
+  return earliest;
+}
+
 void
 PoolCall::CountRefusal()
 {
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -73,6 +73,8 @@
   Reason LastReason() const { return lastReason_; }
   const PoolName& Pool() const { return pool_; }
   size_t AttemptCount() const { return sent_; }
+  /// Time until the first target of the pool takes requests again; no value unless all of them pause.
+  std::optional<Micros> PauseLeft() const;
   /// The target that closed its connection without a reply last, if any did.
   const TargetPtr& LostTarget() const { return lostTarget_; }
 
--- a/src/request/relay_run.cpp
+++ b/src/request/relay_run.cpp
@@ -37,7 +37,7 @@
   if (!Call().Reply()) {
     const Verdict verdict = CombinedVerdict();
     const Reason reason = Call().LastReason();
-    Finish(MakeFailureReply(verdict, reason, HasPassed(timing_.deadline_), kRetryAfterNoTarget), verdict, reason);
+    Finish(MakeFailureReply(verdict, reason, HasPassed(timing_.deadline_), RetryAfterGivenUp()), verdict, reason);
     return;
   }
   const TargetOutcome& outcome = *Call().Reply();
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -123,6 +123,19 @@
   }
 }
 
+Micros
+RoutedRun::RetryAfterGivenUp()
+{
+  std::optional<Micros> earliest;
+  for (const auto& call : Calls()) {
+    const bool isGivenUp = call->CurrentState() == PoolCall::State::GivenUp;
+    if (const std::optional<Micros> left = isGivenUp ? call->PauseLeft() : std::nullopt) {
+      earliest = std::min(earliest.value_or(*left), *left);
+    }
+  }
+  return earliest.value_or(kRetryAfterNoTarget);
+}
+
 Verdict
 RoutedRun::CombinedVerdict()
 {
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -82,6 +82,8 @@
   /// Ends a queued run that is past its cutoff if it is not expected to get enough replies by its deadline, and checks
   /// again later otherwise. A late call is queued behind all calls that can still meet their objective.
   void EndLateRunIfDeadlineUnreachable();
+  /// Retry-After time of a run whose calls were given up: until the first of their targets that pause is back.
+  Micros RetryAfterGivenUp();
   /// Combined verdict of all calls on whether the request was executed.
   Verdict CombinedVerdict();
   void StartTimers();
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -62,6 +62,8 @@
     aOnChecked(!unreachable_.contains(aTarget.Value()));
   }
 
+  void SetOnNotice(OnNotice aOnNotice) override { onNotice_ = std::move(aOnNotice); }
+
   void Forget(const TargetName& aTarget) override { forgotten_.push_back(aTarget.Value()); }
 
   /// Ends call number aIndex; of an abandoned one only its connection becomes free.
@@ -92,6 +94,7 @@
   /// Names of the targets to which idle connections were opened, in order.
   std::vector<std::string> opened_;
   std::vector<std::string> forgotten_;
+  OnNotice onNotice_;
   /// Targets to which no connection can be made.
   std::set<std::string> unreachable_;
   /// Targets with an idle connection.
--- a/tests/target_link_test.cpp
+++ b/tests/target_link_test.cpp
@@ -370,6 +370,71 @@
   }
 }
 
+struct NoticeCase
+{
+  const char* name_;
+  std::string answer_;
+  bool isLeaving_;
+  std::optional<Micros> pause_;
+};
+
+class NoticeOfATarget : public testing::TestWithParam<NoticeCase>
+{};
+
+/// Guards against a target's word that it leaves or pauses that is not heard because of the answer that bears it, and
+/// against values that are no time.
+TEST_P(NoticeOfATarget, IsHeard)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { { GetParam().answer_, true } });
+  std::vector<TargetNotice> notices;
+  fixture.link_.SetOnNotice([&](const TargetCall& aCall, const TargetNotice& aNotice) {
+    EXPECT_EQ(aCall.target_, TargetName("t"));
+    notices.push_back(aNotice);
+  });
+  fixture.Call(target.Address());
+  const bool saysSomething = GetParam().isLeaving_ || GetParam().pause_;
+  ASSERT_EQ(notices.size(), saysSomething ? 1U : 0U);
+  if (saysSomething) {
+    EXPECT_EQ(notices[0].isLeaving_, GetParam().isLeaving_);
+    EXPECT_EQ(notices[0].pause_, GetParam().pause_);
+  }
+}
+
+const std::string kLeaving = "Ibisrock-Leaving: 1\r\n";
+const std::string kNotRun = "Ibisrock-Not-Run: 1\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  TargetLink,
+  NoticeOfATarget,
+  testing::Values(
+    NoticeCase{ "Nothing", Reply("200", kOwn, "x"), false, std::nullopt },
+    NoticeCase{ "LeavingWithSuccess", Reply("200", kOwn + kLeaving, "x"), true, std::nullopt },
+    NoticeCase{ "LeavingWithFailure", Reply("500", kOwn + kLeaving, "x"), true, std::nullopt },
+    NoticeCase{ "LeavingWithRefusal", Reply("503", kNotRun + kLeaving, ""), true, std::nullopt },
+    NoticeCase{ "LeavingInAnswerToAnother",
+                Reply("200", kOther + kLeaving, "x") + Reply("200", kOwn, "x"),
+                true,
+                std::nullopt },
+    NoticeCase{ "LeavingIsZero",
+                Reply("200", std::string(kOwn) + "Ibisrock-Leaving: 0\r\n", "x"),
+                false,
+                std::nullopt },
+    NoticeCase{ "AnotherTargetLeaves", Reply("421", kLeaving, ""), false, std::nullopt },
+    NoticeCase{ "Pause", Reply("503", kNotRun + "Retry-After: 2\r\n", ""), false, Seconds(2) },
+    NoticeCase{ "PauseWithFraction", Reply("503", kNotRun + "Retry-After: 0.250\r\n", ""), false, Millis(250) },
+    NoticeCase{ "PauseAndLeaving", Reply("503", kNotRun + kLeaving + "Retry-After: 1\r\n", ""), true, Seconds(1) },
+    NoticeCase{ "PauseTwice", Reply("503", kNotRun + "Retry-After: 1\r\nRetry-After: 5\r\n", ""), false, Seconds(1) },
+    NoticeCase{ "PauseOfYears", Reply("503", kNotRun + "Retry-After: 1000000000\r\n", ""), false, Seconds(86'400) },
+    NoticeCase{ "PauseWithSuccess", Reply("200", std::string(kOwn) + "Retry-After: 2\r\n", "x"), false, std::nullopt },
+    NoticeCase{ "PauseIsNegative", Reply("503", kNotRun + "Retry-After: -2\r\n", ""), false, std::nullopt },
+    NoticeCase{ "PauseIsADate",
+                Reply("503", kNotRun + "Retry-After: Sat, 05 Dec 2026 04:00:00 GMT\r\n", ""),
+                false,
+                std::nullopt },
+    NoticeCase{ "PauseIsNoNumber", Reply("503", kNotRun + "Retry-After: nan\r\n", ""), false, std::nullopt }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 struct ReuseCase
 {
   const char* name_;
