--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -31,6 +31,21 @@
   size_t violations_;
 };
 
+/// The target answers the present request with a notice; aCount requests reach it aLater.
+void
+SayAndArrive(CheckerFixture& aFixture, const TargetNotice& aNotice, Micros aLater, size_t aCount, size_t aInstance = 0)
+{
+  aFixture.Send(aInstance);
+  aFixture.Arrive();
+  aFixture.checker_.OnAnswer(kTarget, aFixture.Id(), aNotice);
+  aFixture.timers_.Advance(aLater);
+  for (size_t i = 0; i < aCount; i++) {
+    aFixture.NextRequest();
+    aFixture.Send(aInstance);
+    aFixture.Arrive();
+  }
+}
+
 void
 LeaveAndArrive(CheckerFixture& aFixture, Micros aLater, size_t aInstance = 0)
 {
@@ -89,6 +104,41 @@
                    LeaveAndArrive(aFixture, Seconds(20));
                  },
                  0 },
+    CheckedCase{ "SaidLeavingLongAgo",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { true, {} }, Millis(3100), 1);
+                 },
+                 1 },
+    CheckedCase{ "SaidLeavingJustNow",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { true, {} }, Millis(2900), 1);
+                 },
+                 0 },
+    CheckedCase{ "SaidLeavingToDisturbedInstance",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { true, {} }, Millis(3100), 1, 1);
+                 },
+                 0 },
+    CheckedCase{ "TwoInAPause",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { false, Seconds(2) }, Seconds(1), 2);
+                 },
+                 0 },
+    CheckedCase{ "ThreeInAPause",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { false, Seconds(2) }, Seconds(1), 3);
+                 },
+                 1 },
+    CheckedCase{ "ThreeAtTheBeginOfAPause",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { false, Seconds(2) }, Millis(400), 3);
+                 },
+                 0 },
+    CheckedCase{ "ThreeAfterAPause",
+                 [](CheckerFixture& aFixture) {
+                   SayAndArrive(aFixture, { false, Seconds(2) }, Millis(2100), 3);
+                 },
+                 0 },
     CheckedCase{ "BudgetKept", [](CheckerFixture& aFixture) { SendMany(aFixture, 1); }, 0 },
     CheckedCase{ "BudgetExceeded", [](CheckerFixture& aFixture) { SendMany(aFixture, 2); }, 1 },
     CheckedCase{ "BudgetOfTwoWindows",
