--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -370,22 +370,54 @@
                                          LostWatchCase{ "LargeDeployment", Millis(7300), Seconds(6) }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// An instance that is no relay, whose store the test chooses, on a clock that it advances.
+class LoneInstance
+{
+public:
+  void Start(uint16_t aStorePort, Micros aTimeLimit)
+  {
+    const Discovery::Settings settings{ { "127.0.0.1", aStorePort },
+                                        "entry-1",
+                                        "z",
+                                        { "127.0.0.1", 0 },
+                                        aTimeLimit,
+                                        aTimeLimit,
+                                        [this] { return timers_.Now().time_since_epoch(); } };
+    discovery_.emplace(loop_, timers_, random_, settings, router_, log_, [] {});
+    LastReason reason;
+    ASSERT_TRUE(discovery_->Start(reason)) << reason.Text();
+  }
+
+  void Advance(Micros aTime)
+  {
+    for (const TimePoint end = timers_.Now() + aTime; timers_.Now() < end;) {
+      timers_.Advance(Millis(20));
+      loop_.run_for(std::chrono::microseconds(100));
+      while (loop_.poll() > 0) {
+      }
+    }
+  }
+
+  boost::asio::io_context loop_{ 1 };
+  ManualTimerService timers_;
+  Random random_{ 1 };
+  tests::FakeTargetLink link_;
+  NullLog log_;
+  Router router_{ {}, timers_, random_, link_, nullptr };
+  std::optional<Discovery> discovery_;
+};
+
 /// Guards against a store that is asked without a pause because it answers with something that is no list.
 TEST(Discovery, PausesWhenTheSourceFailsAtOnce)
 {
   // In 10 s, three calls after each pause of half a second, and the first ones.
   constexpr uint64_t kMaxCalls = 70;
-  boost::asio::io_context loop{ 1 };
-  ManualTimerService timers;
-  Random random(1);
-  tests::FakeTargetLink link;
-  NullLog log;
-  Router router({}, timers, random, link, nullptr);
+  LoneInstance instance;
   LastReason reason;
   size_t calls = 0;
   auto store = adapters::CallerServer::Create(
-    loop,
-    timers,
+    instance.loop_,
+    instance.timers_,
     { .address_ = { "127.0.0.1", 0 } },
     [&calls](const std::shared_ptr<const CallerRequest>& aRequest, const adapters::CallerServer::OnReply& aReply) {
       calls++;
@@ -398,21 +430,8 @@
     },
     reason);
   ASSERT_TRUE(store) << reason.Text();
-  const Discovery::Settings settings{ { "127.0.0.1", store->Port() },
-                                      "entry-1",
-                                      "z",
-                                      { "127.0.0.1", 0 },
-                                      Seconds(3),
-                                      Seconds(3),
-                                      [&timers] { return timers.Now().time_since_epoch(); } };
-  Discovery discovery(loop, timers, random, settings, router, log, [] {});
-  ASSERT_TRUE(discovery.Start(reason)) << reason.Text();
-  for (int step = 0; step < 1000; step++) {
-    timers.Advance(Millis(10));
-    loop.run_for(std::chrono::microseconds(200));
-    while (loop.poll() > 0) {
-    }
-  }
+  instance.Start(store->Port(), Seconds(3));
+  instance.Advance(Seconds(10));
   EXPECT_LE(calls, kMaxCalls);
 }
 
@@ -436,14 +455,9 @@
   boost::asio::io_context silentLoop;
   boost::asio::ip::tcp::acceptor silent(silentLoop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
   const std::string silentAddress = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
-  boost::asio::io_context loop{ 1 };
-  ManualTimerService timers;
-  Random random(1);
-  tests::FakeTargetLink link;
-  NullLog log;
-  Router router({}, timers, random, link, nullptr);
+  LoneInstance instance;
   LastReason reason;
-  auto store = StoreEmulator::Create(loop, timers, { "127.0.0.1", 0 }, reason);
+  auto store = StoreEmulator::Create(instance.loop_, instance.timers_, { "127.0.0.1", 0 }, reason);
   ASSERT_TRUE(store) << reason.Text();
   store->Put("config", "main", Configuration(1, json::object()));
   for (size_t i = 0; i < GetParam().silentRelays_; i++) {
@@ -456,34 +470,18 @@
                           0 };
     store->Put(RelayRegistration::kKind, slot.name_.Value(), RelayRegistration::Encode(slot)["spec"]);
   }
-  const Discovery::Settings settings{ { "127.0.0.1", store->Port() },
-                                      "entry-1",
-                                      "z",
-                                      { "127.0.0.1", 0 },
-                                      GetParam().timeLimit_,
-                                      GetParam().timeLimit_,
-                                      [&timers] { return timers.Now().time_since_epoch(); } };
-  Discovery discovery(loop, timers, random, settings, router, log, [] {});
-  ASSERT_TRUE(discovery.Start(reason)) << reason.Text();
-  const auto advance = [&](Micros aTime) {
-    for (const TimePoint end = timers.Now() + aTime; timers.Now() < end;) {
-      timers.Advance(Millis(20));
-      loop.run_for(std::chrono::microseconds(100));
-      while (loop.poll() > 0) {
-      }
-    }
-  };
-  advance(Seconds(12));
-  ASSERT_TRUE(router.IsReady());
+  instance.Start(store->Port(), GetParam().timeLimit_);
+  instance.Advance(Seconds(12));
+  ASSERT_TRUE(instance.router_.IsReady());
   // The cut may end at any moment of the search.
   for (uint64_t version = 2; version < 9; version++) {
     store->SetMode(StoreMode::Silent);
-    advance(Seconds(4) + Millis(330) * version);
+    instance.Advance(Seconds(4) + Millis(330) * version);
     store->Put("config", "main", Configuration(version, json::object()));
     store->SetMode(StoreMode::Up);
-    advance(GetParam().timeLimit_ + Seconds(1));
-    EXPECT_EQ(router.Routes()->Version(), ConfigVersion(version));
-    advance(Seconds(3));
+    instance.Advance(GetParam().timeLimit_ + Seconds(1));
+    EXPECT_EQ(instance.router_.Routes()->Version(), ConfigVersion(version));
+    instance.Advance(Seconds(3));
   }
 }
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -418,6 +418,28 @@
   ASSERT_TRUE(fleet.AdvanceUntil([&] { return answer.has_value(); }, Seconds(2)));
 }
 
+/// Guards against a request that crashes targets at one instance after another: what one has seen, relays and their
+/// users know within seconds.
+TEST(Relay, CrashesAreKnownToTheFleet)
+{
+  RelayFleet fleet(8);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  CallerRequest request;
+  request.method_ = "GET";
+  request.host_ = "h";
+  request.target_ = "/a/x";
+  const auto subscribers = fleet.Living(Discovery::Source::Relay);
+  ASSERT_FALSE(subscribers.empty());
+  for (unsigned crash = 0; crash < CrashHistory::kMaxCrashes; crash++) {
+    fleet.Advance(Millis(400));
+    subscribers.front()->router_->Crashes().OnCrash(request, fleet.timers_.Now());
+  }
+  fleet.Advance(Seconds(2));
+  EXPECT_TRUE(fleet.All(
+    [&](RelayFleet::Node& aNode) { return aNode.router_->Crashes().Check(request) == CrashPrecaution::Refuse; }));
+}
+
 struct PeerBytesCase
 {
   const char* name_;
