Count crashes of targets whose run nobody waits for any more

Seen by callers: a request that crashes its target 0.1 s after the run began, from a client that leaves after 0.05 s, crashed targets without end and took other requests with it.

Cause: only a run that ended with a lost connection told the crash history. A caller that leaves closes the connection, and a run whose time is over gives it up, so nobody saw the loss.

Change: CrashWatch gets each lost connection, also of an abandoned call, with the attempt's own times, and the attempts in flight of a run that ends without an answer. A refused connection is a crash; silence is one only if the connection was lost, because a target that is cut off must not bring sound requests under suspicion.

FakeTargetLink tells how a released call ended and what a check shows.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -143,8 +143,12 @@
   }
   Call& call = found->second;
   timers_.Cancel(call.timer_);
-  if (aResult != LoopHttpConnection::ConnectResult::Connected) {
-    const bool isFull = aResult == LoopHttpConnection::ConnectResult::Refused;
+  using ConnectResult = LoopHttpConnection::ConnectResult;
+  call.reachability_ = aResult == ConnectResult::NoListener ? Reachability::Refused
+                       : aResult == ConnectResult::Failed   ? Reachability::Silent
+                                                            : Reachability::Reachable;
+  if (aResult != ConnectResult::Connected) {
+    const bool isFull = aResult == ConnectResult::Refused;
     End(aId, MakeFailure(Verdict::NotRun, isFull ? Reason::OverLimit : Reason::ConnectFailed));
   } else if (!call.callback_) {
     // Abandoned before it was sent: the connection serves the next call.
@@ -287,15 +291,15 @@
   timers_.Cancel(found->second.timer_);
   Callback callback = std::move(found->second.callback_);
   OnReleased onReleased = std::move(found->second.onReleased_);
-  const auto onChecked = std::move(found->second.onChecked_);
+  const OnChecked onChecked = std::move(found->second.onChecked_);
+  const Reachability reachability = found->second.reachability_;
   calls_.erase(found);
   if (callback) {
     callback(std::move(aOutcome));
   } else if (onReleased) {
-    onReleased();
+    onReleased(aOutcome.reason_ == Reason::ConnectionLost);
   } else if (onChecked) {
-    // A target that takes no more connections is there.
-    onChecked(aOutcome.reason_ != Reason::ConnectFailed);
+    onChecked(reachability);
   }
 }
 
@@ -338,9 +342,7 @@
 }
 
 void
-HttpTargetLink::CheckReachable(const TargetName& aTarget,
-                               const TargetAddress& aAddress,
-                               std::function<void(bool aIsReachable)> aOnChecked)
+HttpTargetLink::CheckReachable(const TargetName& aTarget, const TargetAddress& aAddress, OnChecked aOnChecked)
 {
   OpenIdleConnection(aTarget, aAddress);
   calls_.at(lastId_).onChecked_ = std::move(aOnChecked);
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -24,9 +24,7 @@
   void AbandonCall(CallId aId, Abandon aHow, OnReleased aOnReleased) override;
   bool HasIdleConnection(const TargetName& aTarget) const override;
   void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) override;
-  void CheckReachable(const TargetName& aTarget,
-                      const TargetAddress& aAddress,
-                      std::function<void(bool aIsReachable)> aOnChecked) override;
+  void CheckReachable(const TargetName& aTarget, const TargetAddress& aAddress, OnChecked aOnChecked) override;
   void Forget(const TargetName& aTarget) override;
 
   void SetOnNotice(OnNotice aOnNotice) override { onNotice_ = std::move(aOnNotice); }
@@ -45,7 +43,8 @@
     Callback callback_;
     /// Set when the call was abandoned and still holds its connection.
     OnReleased onReleased_;
-    std::function<void(bool)> onChecked_;
+    OnChecked onChecked_;
+    Reachability reachability_ = Reachability::Silent;
     TimerId timer_;
     bool sent_ = false;
   };
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -75,7 +75,9 @@
         return;
       }
       if (aError) {
-        onConnected(aError == asio::error::connection_reset ? ConnectResult::Refused : ConnectResult::Failed);
+        onConnected(aError == asio::error::connection_reset     ? ConnectResult::Refused
+                    : aError == asio::error::connection_refused ? ConnectResult::NoListener
+                                                                : ConnectResult::Failed);
         return;
       }
       boost::system::error_code ignored;
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -47,6 +47,8 @@
     Connected,
     /// The server is there and closed the connection at once, because it has as many as it takes.
     Refused,
+    /// The host is there, and nothing listens on the port.
+    NoListener,
     Failed,
   };
 
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -57,12 +57,25 @@
   Stop,
 };
 
+/// What an attempt to connect to a target shows.
+enum class Reachability : uint8_t
+{
+  /// It takes connections, or has as many as it takes.
+  Reachable,
+  /// Nothing listens at its address.
+  Refused,
+  /// No answer, or none that tells.
+  Silent,
+};
+
 /// Sends requests to targets over kept connections. Every call is sent at most once. Used on one thread.
 class TargetLink
 {
 public:
   using Callback = std::function<void(TargetOutcome)>;
-  using OnReleased = std::function<void()>;
+  /// aWasLost tells that the target closed the connection before it answered.
+  using OnReleased = std::function<void(bool aWasLost)>;
+  using OnChecked = std::function<void(Reachability aResult)>;
 
   /// Told of each answer in which a target says something of itself, also if nobody wants the outcome any more.
   using OnNotice = std::function<void(const TargetCall&, const TargetNotice&)>;
@@ -81,9 +94,7 @@
   /// Opens a connection for a later call. Without success nothing happens.
   virtual void OpenIdleConnection(const TargetName& aTarget, const TargetAddress& aAddress) = 0;
   /// Opens a connection and tells whether that was possible. It is kept for a later call.
-  virtual void CheckReachable(const TargetName& aTarget,
-                              const TargetAddress& aAddress,
-                              std::function<void(bool aIsReachable)> aOnChecked) = 0;
+  virtual void CheckReachable(const TargetName& aTarget, const TargetAddress& aAddress, OnChecked aOnChecked) = 0;
   /// Closes the idle connections to a target that is gone.
   virtual void Forget(const TargetName& aTarget) = 0;
 };
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -41,7 +41,7 @@
                                     { .instances_ = 1, .hasJustStarted_ = true }),
            aLog,
            {},
-           std::make_shared<CrashHistory>(aTimers) };
+           CrashWatch::Create(aTimers, aLink) };
 }
 
 } // namespace
@@ -221,9 +221,9 @@
     Refuse(*aRequest, discoveryCurrent_ ? 404 : 503, Reason::UnknownService, aOnReply);
     return RunId();
   }
-  const CrashPrecaution precaution = context_.crashes_->Check(*aRequest);
+  const CrashPrecaution precaution = context_.crashes_->History().Check(*aRequest);
   if (precaution == CrashPrecaution::Refuse) {
-    Refuse(*aRequest, 503, Reason::CrashSuspect, aOnReply, context_.crashes_->RefusedFor(*aRequest));
+    Refuse(*aRequest, 503, Reason::CrashSuspect, aOnReply, context_.crashes_->History().RefusedFor(*aRequest));
     return RunId();
   }
   const AnswerTiming timing =
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -64,7 +64,7 @@
   /// Sets the rate of requests to all instances together, as relays report it.
   void SetFleetRate(PerSecond aRate);
   /// Requests that have crashed targets.
-  CrashHistory& Crashes() { return *context_.crashes_; }
+  CrashHistory& Crashes() { return context_.crashes_->History(); }
   /// This instance's share of the extra attempts.
   const ExtraAttemptShare& ExtraShare() const { return context_.extraShare_; }
   /// Usual rate of requests to this instance.
--- a/src/process/routing_context.h
+++ b/src/process/routing_context.h
@@ -5,7 +5,7 @@
 #include "base/target_link.h"
 #include "base/timer_service.h"
 #include "process/attempt_log.h"
-#include "process/crash_history.h"
+#include "process/crash_watch.h"
 #include "process/pool_state.h"
 #include "process/reply_lag.h"
 #include "process/route_state.h"
@@ -30,7 +30,7 @@
   AttemptLog* log_ = nullptr;
   ReplyLag replyLag_{};
   /// Requests that have crashed targets. Checks of targets may end after the router.
-  std::shared_ptr<CrashHistory> crashes_{};
+  std::shared_ptr<CrashWatch> crashes_{};
 
   PoolState& Pool(const PoolName& aName) { return pools_.try_emplace(aName, extraShare_).first->second; }
 };
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -34,6 +34,13 @@
   return aOutcome.verdict_ == Verdict::Ran && aOutcome.status_ >= 300 && !IsNotRunStatus(aOutcome.status_);
 }
 
+TargetRun
+MakeTargetRun(const Target& aTarget, std::shared_ptr<const CallerRequest> aRequest, TimePoint aSentAt)
+{
+  const TargetRecord& record = aTarget.Record();
+  return { record.name_, record.address_, record.pool_, std::move(aRequest), aSentAt };
+}
+
 } // namespace
 
 bool
@@ -260,7 +267,7 @@
     aAttempt.target_->OnFailure(aAttempt.id_, now);
   }
   if (aOutcome.reason_ == Reason::ConnectionLost) {
-    lostTarget_ = aAttempt.target_;
+    scope_.context_.crashes_->OnConnectionLost(MakeRun(aAttempt));
   }
   if (aAttempt.extra_ && NeverReachedTarget(aOutcome.reason_)) {
     scope_.context_.Pool(pool_).extraBudget_.Refund();
@@ -321,6 +328,22 @@
   observer_.OnPoolCallEnded(index_);
 }
 
+TargetRun
+PoolCall::MakeRun(const Attempt& aAttempt) const
+{
+  return MakeTargetRun(*aAttempt.target_, scope_.request_, aAttempt.sentAt_);
+}
+
+size_t
+PoolCall::WatchForCrashes(size_t aMaxCount)
+{
+  const size_t count = std::min(aMaxCount, attempts_.size());
+  for (size_t i = 0; i < count; i++) {
+    scope_.context_.crashes_->OnUnanswered(MakeRun(attempts_[i]));
+  }
+  return count;
+}
+
 void
 PoolCall::Stop(Abandon aHow)
 {
@@ -342,8 +365,17 @@
     context.link_.AbandonCall(
       attempt.id_,
       aHow,
-      [target = attempt.target_, id = attempt.id_, &pool = context.Pool(pool_), &timers = context.timers_] {
+      [target = attempt.target_,
+       id = attempt.id_,
+       sentAt = attempt.sentAt_,
+       request = scope_.request_,
+       crashes = context.crashes_,
+       &pool = context.Pool(pool_),
+       &timers = context.timers_](bool aWasLost) {
         target->OnReleased(id);
+        if (aWasLost) {
+          crashes->OnConnectionLost(MakeTargetRun(*target, request, sentAt));
+        }
         pool.pendingCalls_.OnCapacityAvailable(timers.Now());
       });
   }
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -75,8 +75,9 @@
   size_t AttemptCount() const { return sent_; }
   /// Time until the first target of the pool takes requests again; no value unless all of them pause.
   std::optional<Micros> PauseLeft() const;
-  /// The target that closed its connection without a reply last, if any did.
-  const TargetPtr& LostTarget() const { return lostTarget_; }
+  /// Has up to aMaxCount attempts in flight watched for crashes of their targets, and returns their number. To be called
+  /// before the call is stopped, unless an answer came.
+  size_t WatchForCrashes(size_t aMaxCount);
 
 private:
   struct Attempt
@@ -97,6 +98,7 @@
   Micros ExpectedLatency() const;
   void OnOutcome(CallId aId, TargetOutcome aOutcome);
   void OnOverLimit(Target& aTarget, CallId aCall);
+  TargetRun MakeRun(const Attempt& aAttempt) const;
   void Observe(const Attempt& aAttempt, const TargetOutcome& aOutcome);
   bool HasExpired() const { return scope_.context_.timers_.Now() >= scope_.deadline_; }
   void OnFailedAttempt(bool aWasExtra);
@@ -114,7 +116,6 @@
   size_t sent_ = 0;
   std::optional<PendingCallQueue::Position> queuePosition_;
   std::optional<TargetOutcome> reply_;
-  TargetPtr lostTarget_;
   Verdict verdict_ = Verdict::NotRun;
   Reason lastReason_ = Reason::None;
 };
--- a/src/request/routed_run.cpp
+++ b/src/request/routed_run.cpp
@@ -19,6 +19,9 @@
 /// Interval between checks of whether a late queued run can still finish by its deadline.
 constexpr Micros kLateCheckInterval = Millis(100);
 
+/// Attempts of a run without an answer whose targets are checked for a crash.
+constexpr size_t kMaxWatchedAttempts = 2;
+
 /// A call that is not expected to have a reply by the deadline.
 struct LateCall
 {
@@ -190,33 +193,40 @@
 {
   ended_ = true;
   CancelTimers();
+  WatchForCrashes();
   for (const auto& call : Calls()) {
     call->Stop(Abandon::Stop);
   }
 }
 
-/// Tells the crash history that a target has answered or, without any answer, which targets may have crashed.
+/// Has a few of the attempts in flight watched, because a check may open a connection.
 void
-RoutedRun::ReportToCrashHistory()
+RoutedRun::WatchForCrashes()
 {
-  RoutingContext& context = scope_.context_;
-  const auto& calls = Calls();
-  if (std::any_of(calls.begin(), calls.end(), [](const auto& aCall) { return aCall->Reply().has_value(); })) {
-    context.crashes_->OnAnswered(*scope_.request_);
-    return;
+  size_t left = kMaxWatchedAttempts;
+  for (const auto& call : Calls()) {
+    if (left > 0) {
+      left -= call->WatchForCrashes(left);
+    }
   }
-  const auto lost =
-    std::find_if(calls.begin(), calls.end(), [](const auto& aCall) { return aCall->LostTarget() != nullptr; });
-  if (lost == calls.end()) {
+}
+
+void
+RoutedRun::ReportAnswers()
+{
+  CrashWatch& crashes = *scope_.context_.crashes_;
+  if (crashes.IsIdle()) {
     return;
   }
-  const TargetRecord& target = (*lost)->LostTarget()->Record();
-  context.link_.CheckReachable(
-    target.name_, target.address_, [crashes = context.crashes_, request = scope_.request_](bool aIsReachable) {
-      if (!aIsReachable) {
-        crashes->OnCrash(*request, request->receivedAt_);
-      }
-    });
+  std::vector<PoolName> answered;
+  for (const auto& call : Calls()) {
+    if (call->Reply()) {
+      answered.push_back(call->Pool());
+    }
+  }
+  if (!answered.empty()) {
+    crashes.OnAnswered(*scope_.request_, answered);
+  }
 }
 
 void
@@ -229,6 +239,11 @@
   CancelTimers();
   RunResult result{ std::move(aReply), aVerdict, aReason };
   result.shards_ = Calls().size();
+  const bool hasReply =
+    std::any_of(Calls().begin(), Calls().end(), [](const auto& aCall) { return aCall->Reply().has_value(); });
+  if (!hasReply) {
+    WatchForCrashes();
+  }
   for (const auto& call : Calls()) {
     if (call->CurrentState() != PoolCall::State::Replied) {
       result.missingPools_.push_back(call->Pool());
@@ -237,7 +252,7 @@
     result.attempts_ += call->AttemptCount();
     result.extraAttempts_ += call->AttemptCount() > 1 ? call->AttemptCount() - 1 : 0;
   }
-  ReportToCrashHistory();
+  ReportAnswers();
   onEnd_(std::move(result));
 }
 
--- a/src/request/routed_run.h
+++ b/src/request/routed_run.h
@@ -98,7 +98,8 @@
 private:
   void ScheduleAt(TimePoint aTime, void (RoutedRun::*aHandler)());
   void CancelTimers();
-  void ReportToCrashHistory();
+  void WatchForCrashes();
+  void ReportAnswers();
 
   const EndCallback onEnd_;
   std::vector<TimerId> timers_;
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -43,7 +43,7 @@
     sent.ended_ = true;
     sent.stopped_ = aHow == Abandon::Stop;
     if (sent.stopped_) {
-      aOnReleased();
+      aOnReleased(false);
     } else {
       sent.onReleased_ = std::move(aOnReleased);
     }
@@ -57,9 +57,12 @@
     opened_.push_back(aTarget.Value());
   }
 
-  void CheckReachable(const TargetName& aTarget, const TargetAddress&, std::function<void(bool)> aOnChecked) override
+  void CheckReachable(const TargetName& aTarget, const TargetAddress&, OnChecked aOnChecked) override
   {
-    aOnChecked(!unreachable_.contains(aTarget.Value()));
+    checked_.push_back(aTarget.Value());
+    aOnChecked(silent_.contains(aTarget.Value())        ? Reachability::Silent
+               : unreachable_.contains(aTarget.Value()) ? Reachability::Refused
+                                                        : Reachability::Reachable);
   }
 
   void SetOnNotice(OnNotice aOnNotice) override { onNotice_ = std::move(aOnNotice); }
@@ -71,7 +74,7 @@
   {
     if (sent_.at(aIndex).ended_) {
       if (OnReleased onReleased = std::move(sent_[aIndex].onReleased_)) {
-        onReleased();
+        onReleased(aOutcome.reason_ == Reason::ConnectionLost);
       }
       return;
     }
@@ -95,8 +98,12 @@
   std::vector<std::string> opened_;
   std::vector<std::string> forgotten_;
   OnNotice onNotice_;
-  /// Targets to which no connection can be made.
+  /// Targets where nothing listens.
   std::set<std::string> unreachable_;
+  /// Targets that do not answer at all.
+  std::set<std::string> silent_;
+  /// Names of the targets that were checked, in order.
+  std::vector<std::string> checked_;
   /// Targets with an idle connection.
   std::set<std::string> connected_;
 };
