--- a/src/process/crash_history.cpp
+++ b/src/process/crash_history.cpp
@@ -9,8 +9,23 @@
 
 namespace {
 
-/// Requests that are remembered; each takes about 50 bytes.
+/// Requests that are remembered; each takes some hundred bytes.
 constexpr size_t kMaxEntries = 4000;
+/// Answers that are remembered of one request, and items that are taken from one report.
+constexpr size_t kMaxItems = 16;
+
+Fingerprint
+PoolFingerprint(const PoolName& aPool)
+{
+  return Fingerprint(HashBytes(aPool.Value()));
+}
+
+Fingerprint
+RunFingerprint(const TargetRun& aRun)
+{
+  const uint64_t seed = HashBytes(std::to_string(aRun.began_.time_since_epoch().count()));
+  return Fingerprint(HashBytes(aRun.target_.Value(), HashBytes(aRun.request_->id_, seed)));
+}
 
 } // namespace
 
@@ -23,10 +38,23 @@
   return Fingerprint(HashBytes(aRequest.body_ ? std::string_view(*aRequest.body_) : std::string_view(), hash));
 }
 
+TimePoint
+CrashHistory::Entry::LastChange() const
+{
+  TimePoint last{};
+  for (const Crash& crash : crashes_) {
+    last = std::max(last, crash.ended_);
+  }
+  for (const Answer& answer : answers_) {
+    last = std::max(last, answer.at_);
+  }
+  return last;
+}
+
 bool
 CrashHistory::HasLapsed(const Entry& aEntry) const
 {
-  return timers_.Now() - aEntry.lastCrashAt_ >= kRefuseTime;
+  return timers_.Now() - aEntry.LastChange() >= kRefuseTime;
 }
 
 const CrashHistory::Entry*
@@ -36,82 +64,166 @@
   return found == entries_.end() || HasLapsed(found->second) ? nullptr : &found->second;
 }
 
-CrashHistory::Entry*
-CrashHistory::Find(Fingerprint aRequest)
+CrashHistory::Entry&
+CrashHistory::FindOrAdd(Fingerprint aRequest)
+{
+  if (Find(aRequest) == nullptr) {
+    EvictIfFull();
+    entries_[aRequest] = {};
+  }
+  Entry& entry = entries_[aRequest];
+  if (CountCrashes(&entry) == 0) {
+    entry.crashes_.clear();
+  }
+  return entry;
+}
+
+/// The crashes of a request lapse together, some time after the last one.
+size_t
+CrashHistory::CountCrashes(const Entry* aEntry) const
 {
-  return const_cast<Entry*>(std::as_const(*this).Find(aRequest));
+  const bool isKnown = aEntry != nullptr && !aEntry->crashes_.empty();
+  return isKnown && timers_.Now() - aEntry->crashes_.back().ended_ < kRefuseTime ? aEntry->crashes_.size() : 0;
 }
 
 CrashPrecaution
 CrashHistory::Check(const CallerRequest& aRequest) const
 {
   // Nearly always nothing is known, and the request is not hashed.
-  const Entry* entry = entries_.empty() ? nullptr : Find(RequestFingerprint(aRequest));
-  if (entry == nullptr) {
-    return CrashPrecaution::None;
-  }
-  return entry->crashes_ < kMaxCrashes ? CrashPrecaution::SingleAttempts : CrashPrecaution::Refuse;
+  const size_t crashes = entries_.empty() ? 0 : CountCrashes(Find(RequestFingerprint(aRequest)));
+  return crashes == 0            ? CrashPrecaution::None
+         : crashes < kMaxCrashes ? CrashPrecaution::SingleAttempts
+                                 : CrashPrecaution::Refuse;
 }
 
 Micros
 CrashHistory::RefusedFor(const CallerRequest& aRequest) const
 {
   const Entry* entry = entries_.empty() ? nullptr : Find(RequestFingerprint(aRequest));
-  return entry == nullptr || entry->crashes_ < kMaxCrashes ? Micros::zero()
-                                                           : entry->lastCrashAt_ + kRefuseTime - timers_.Now();
+  return CountCrashes(entry) < kMaxCrashes ? Micros::zero()
+                                           : entry->crashes_.back().ended_ + kRefuseTime - timers_.Now();
 }
 
-void
-CrashHistory::OnCrash(const CallerRequest& aRequest, TimePoint aBegan)
+/// Adds a crash and keeps the longest sequence of runs that do not overlap. Returns whether the crash is one of them.
+bool
+CrashHistory::AddCrash(Entry& aEntry, const Crash& aCrash)
 {
-  const Fingerprint request = RequestFingerprint(aRequest);
-  Entry* known = Find(request);
-  if (known != nullptr && aBegan <= known->lastCrashAt_) {
-    return;
+  const bool isKnown = std::any_of(aEntry.crashes_.begin(), aEntry.crashes_.end(), [&](const Crash& aKnown) {
+    return aKnown.run_ == aCrash.run_;
+  });
+  const bool isCleared = std::any_of(aEntry.answers_.begin(), aEntry.answers_.end(), [&](const Answer& aAnswer) {
+    return aAnswer.pool_ == aCrash.pool_ && aCrash.ended_ <= aAnswer.at_;
+  });
+  if (isKnown || isCleared) {
+    return false;
   }
-  if (known == nullptr) {
-    EvictIfFull();
-    known = &(entries_[request] = {});
+  std::vector<Crash> all = std::exchange(aEntry.crashes_, {});
+  all.push_back(aCrash);
+  std::stable_sort(all.begin(), all.end(), [](const Crash& aLeft, const Crash& aRight) {
+    return aLeft.ended_ < aRight.ended_;
+  });
+  bool isCounted = false;
+  for (const Crash& crash : all) {
+    const bool isSeparate = aEntry.crashes_.empty() || crash.began_ >= aEntry.crashes_.back().ended_;
+    if (isSeparate && aEntry.crashes_.size() < kMaxCrashes) {
+      aEntry.crashes_.push_back(crash);
+      isCounted = isCounted || crash.run_ == aCrash.run_;
+    }
   }
-  known->crashes_++;
-  known->lastCrashAt_ = timers_.Now();
-  if (publish_) {
-    publish_({ request, known->crashes_, Micros::zero() });
+  return isCounted;
+}
+
+/// Takes the crashes at the pool that came before its answer out. Returns whether there were any.
+bool
+CrashHistory::AddAnswer(Entry& aEntry, const Answer& aAnswer)
+{
+  auto known = std::find_if(aEntry.answers_.begin(), aEntry.answers_.end(), [&](const Answer& aOther) {
+    return aOther.pool_ == aAnswer.pool_;
+  });
+  if (known != aEntry.answers_.end()) {
+    known->at_ = std::max(known->at_, aAnswer.at_);
+  } else {
+    if (aEntry.answers_.size() >= kMaxItems) {
+      aEntry.answers_.erase(aEntry.answers_.begin());
+    }
+    aEntry.answers_.push_back(aAnswer);
   }
+  return std::erase_if(aEntry.crashes_, [&](const Crash& aCrash) {
+           return aCrash.pool_ == aAnswer.pool_ && aCrash.ended_ <= aAnswer.at_;
+         }) > 0;
 }
 
 void
-CrashHistory::OnAnswered(const CallerRequest& aRequest)
+CrashHistory::OnCrash(const TargetRun& aRun, TimePoint aEnded)
+{
+  const Fingerprint request = RequestFingerprint(*aRun.request_);
+  const Crash crash{ RunFingerprint(aRun), PoolFingerprint(aRun.pool_), aRun.began_, aEnded };
+  if (AddCrash(FindOrAdd(request), crash) && publish_) {
+    publish_(request);
+  }
+}
+
+void
+CrashHistory::OnAnswered(const CallerRequest& aRequest, const std::vector<PoolName>& aPools)
 {
   if (entries_.empty()) {
     return;
   }
   const Fingerprint request = RequestFingerprint(aRequest);
-  const bool wasKnown = entries_.erase(request) > 0;
-  if (wasKnown && publish_) {
-    publish_({ request, 0, Micros::zero() });
+  auto found = entries_.find(request);
+  if (found == entries_.end() || found->second.crashes_.empty()) {
+    return;
+  }
+  bool isCleared = false;
+  for (const PoolName& name : aPools) {
+    const Fingerprint pool = PoolFingerprint(name);
+    const auto& crashes = found->second.crashes_;
+    if (std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) { return aCrash.pool_ == pool; })) {
+      isCleared = AddAnswer(found->second, { pool, timers_.Now() }) || isCleared;
+    }
+  }
+  if (isCleared && publish_) {
+    publish_(request);
   }
 }
 
 void
 CrashHistory::OnReport(const CrashReport& aReport)
 {
-  if (aReport.crashes_ == 0) {
-    entries_.erase(aReport.request_);
-    return;
+  const TimePoint now = timers_.Now();
+  for (size_t i = 0; i < std::min(aReport.answers_.size(), kMaxItems); i++) {
+    if (const CrashReport::Answer& answer = aReport.answers_[i]; answer.age_ < kRefuseTime) {
+      AddAnswer(FindOrAdd(aReport.request_), { answer.pool_, now - answer.age_ });
+    }
   }
-  if (aReport.age_ >= kRefuseTime) {
-    return;
+  for (size_t i = 0; i < std::min(aReport.crashes_.size(), kMaxItems); i++) {
+    if (const CrashReport::Crash& crash = aReport.crashes_[i]; crash.endedAge_ < kRefuseTime) {
+      const Micros beganAge = std::max(crash.beganAge_, crash.endedAge_) + kReportDelay;
+      AddCrash(FindOrAdd(aReport.request_), { crash.run_, crash.pool_, now - beganAge, now - crash.endedAge_ });
+    }
   }
-  Entry* known = Find(aReport.request_);
-  if (known == nullptr) {
-    EvictIfFull();
-    known = &(entries_[aReport.request_] = {});
+}
+
+CrashReport
+CrashHistory::MakeReport(Fingerprint aRequest, const Entry& aEntry) const
+{
+  const TimePoint now = timers_.Now();
+  CrashReport report;
+  report.request_ = aRequest;
+  for (const Crash& crash : aEntry.crashes_) {
+    report.crashes_.push_back({ crash.run_, crash.pool_, now - crash.began_, now - crash.ended_ });
   }
-  if (aReport.crashes_ > known->crashes_) {
-    known->crashes_ = std::min(aReport.crashes_, kMaxCrashes);
-    known->lastCrashAt_ = timers_.Now() - aReport.age_;
+  for (const Answer& answer : aEntry.answers_) {
+    report.answers_.push_back({ answer.pool_, now - answer.at_ });
   }
+  return report;
+}
+
+CrashReport
+CrashHistory::ReportOn(Fingerprint aRequest) const
+{
+  const Entry* entry = Find(aRequest);
+  return MakeReport(aRequest, entry == nullptr ? Entry() : *entry);
 }
 
 std::vector<CrashReport>
@@ -120,17 +232,25 @@
   std::vector<CrashReport> reports;
   for (const auto& [request, entry] : entries_) {
     if (!HasLapsed(entry)) {
-      reports.push_back({ request, entry.crashes_, timers_.Now() - entry.lastCrashAt_ });
+      reports.push_back(MakeReport(request, entry));
     }
   }
   std::sort(reports.begin(), reports.end(), [](const CrashReport& aLeft, const CrashReport& aRight) {
-    return aLeft.crashes_ > aRight.crashes_;
+    return aLeft.crashes_.size() > aRight.crashes_.size();
   });
   reports.resize(std::min(reports.size(), aMaxCount));
   return reports;
 }
 
-/// Makes room: what has lapsed goes, then the request with the fewest crashes that is known longest.
+size_t
+CrashHistory::Size() const
+{
+  return static_cast<size_t>(std::count_if(entries_.begin(), entries_.end(), [this](const auto& aEntry) {
+    return CountCrashes(&aEntry.second) > 0;
+  }));
+}
+
+/// Makes room: what has lapsed goes, then the request with the fewest crashes that has not changed for longest.
 void
 CrashHistory::EvictIfFull()
 {
@@ -140,8 +260,8 @@
   std::erase_if(entries_, [this](const auto& aEntry) { return HasLapsed(aEntry.second); });
   if (entries_.size() >= kMaxEntries) {
     entries_.erase(std::min_element(entries_.begin(), entries_.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::pair(aLeft.second.crashes_, aLeft.second.lastCrashAt_) <
-             std::pair(aRight.second.crashes_, aRight.second.lastCrashAt_);
+      return std::pair(aLeft.second.crashes_.size(), aLeft.second.LastChange()) <
+             std::pair(aRight.second.crashes_.size(), aRight.second.LastChange());
     }));
   }
 }
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -51,7 +51,7 @@
              std::find(aPools.begin(), aPools.end(), aSuspect.run_.pool_) != aPools.end();
     });
   }
-  history_.OnAnswered(aRequest);
+  history_.OnAnswered(aRequest, aPools);
 }
 
 void
@@ -110,7 +110,7 @@
     const bool hasCrashed =
       aResult == Reachability::Refused || (aResult == Reachability::Silent && suspect.wasLost_);
     if (hasCrashed) {
-      history_.OnCrash(*suspect.run_.request_, suspect.run_.began_);
+      history_.OnCrash(suspect.run_, suspect.wasLost_ ? suspect.endedAt_ : now);
     } else if (!suspect.wasLost_ && now - suspect.endedAt_ < kLastCheck) {
       watched.push_back(std::move(suspect));
     }
--- a/src/process/crash_watch.h
+++ b/src/process/crash_watch.h
@@ -12,16 +12,6 @@
 
 namespace ibisrock {
 
-/// A run of a request at a target.
-struct TargetRun
-{
-  TargetName target_;
-  TargetAddress address_;
-  PoolName pool_;
-  std::shared_ptr<const CallerRequest> request_;
-  TimePoint began_;
-};
-
 /// Finds out which runs ended with the crash of their target, also after nobody waits for their outcome any more, and
 /// tells the crash history. Not thread-safe.
 class CrashWatch : public std::enable_shared_from_this<CrashWatch>
@@ -40,7 +30,7 @@
   /// The run has ended without an answer and its connection is closed, so that a crash does not show on it.
   void OnUnanswered(TargetRun aRun);
   /// Whether nothing is watched and no crash is known, so that answers need not be reported.
-  bool IsIdle() const { return targets_.empty() && history_.Size() == 0; }
+  bool IsIdle() const { return targets_.empty() && history_.IsEmpty(); }
   /// Targets of these pools have answered the request.
   void OnAnswered(const CallerRequest& aRequest, const std::vector<PoolName>& aPools);
 
--- a/tests/crash_history_test.cpp
+++ b/tests/crash_history_test.cpp
@@ -1,3 +1,4 @@
+#include "base/hashing.h"
 #include "process/crash_history.h"
 #include "router_fixture.h"
 
@@ -18,6 +19,33 @@
   return request;
 }
 
+/// A run of the request at a target of the pool "p".
+TargetRun
+RunOf(const CallerRequest& aRequest, TimePoint aBegan, const std::string& aPool = "p")
+{
+  static unsigned targets = 0;
+  return { TargetName("t" + std::to_string(targets++)),
+           TargetAddress("10.0.0.1:80"),
+           PoolName(aPool),
+           std::make_shared<CallerRequest>(aRequest),
+           aBegan };
+}
+
+/// What another instance reports that has seen crashes of the request in a row, the last one just now.
+CrashReport
+ReportOfCrashes(const CallerRequest& aRequest, unsigned aCount)
+{
+  ManualTimerService timers;
+  CrashHistory other(timers);
+  for (unsigned i = 0; i < aCount; i++) {
+    timers.Advance(Millis(100));
+    const TimePoint began = timers.Now();
+    timers.Advance(Millis(20));
+    other.OnCrash(RunOf(aRequest, began), timers.Now());
+  }
+  return other.ReportOn(RequestFingerprint(aRequest));
+}
+
 enum class Event : uint8_t
 {
   /// A run that began after all events before has crashed a target.
@@ -25,9 +53,14 @@
   /// One that began before the last crash has.
   CrashOfSameWave,
   Answer,
-  /// Another instance has seen two crashes, or an answer.
+  AnswerOfOtherPool,
+  /// Another instance has seen two crashes, one crash before or while this instance saw its last one, or an answer.
   ReportOfTwo,
+  ReportOfOne,
+  ReportOfSameWave,
   ReportOfAnswer,
+  /// The report that this instance has given before the last answer comes back.
+  ReportComesBack,
   TenMinutes,
 };
 
@@ -48,26 +81,48 @@
   ManualTimerService timers;
   CrashHistory history(timers);
   const CallerRequest request = Request("/a");
+  const Fingerprint fingerprint = RequestFingerprint(request);
   TimePoint lastCrash = timers.Now();
+  CrashReport given;
   for (const Event event : GetParam().events_) {
     timers.Advance(Millis(100));
+    const TimePoint began = timers.Now();
     switch (event) {
       case Event::Crash:
-        history.OnCrash(request, timers.Now());
         timers.Advance(Millis(10));
+        history.OnCrash(RunOf(request, began), timers.Now());
         lastCrash = timers.Now();
         break;
       case Event::CrashOfSameWave:
-        history.OnCrash(request, lastCrash - Millis(50));
+        history.OnCrash(RunOf(request, lastCrash - Millis(50)), timers.Now());
         break;
       case Event::Answer:
-        history.OnAnswered(request);
+        given = history.ReportOn(fingerprint);
+        history.OnAnswered(request, { PoolName("p") });
+        break;
+      case Event::AnswerOfOtherPool:
+        history.OnAnswered(request, { PoolName("q") });
         break;
       case Event::ReportOfTwo:
-        history.OnReport({ RequestFingerprint(request), 2, {} });
+        timers.Advance(Seconds(1));
+        history.OnReport(ReportOfCrashes(request, 2));
+        break;
+      case Event::ReportOfOne:
+        timers.Advance(Seconds(1));
+        history.OnReport(ReportOfCrashes(request, 1));
+        break;
+      case Event::ReportOfSameWave: {
+        CrashReport report = ReportOfCrashes(request, 1);
+        report.crashes_[0].beganAge_ = timers.Now() - lastCrash + Millis(10);
+        report.crashes_[0].endedAge_ = timers.Now() - lastCrash - Millis(30);
+        history.OnReport(report);
         break;
+      }
       case Event::ReportOfAnswer:
-        history.OnReport({ RequestFingerprint(request), 0, {} });
+        history.OnReport({ fingerprint, {}, { { ReportOfCrashes(request, 1).crashes_[0].pool_, {} } } });
+        break;
+      case Event::ReportComesBack:
+        history.OnReport(given);
         break;
       case Event::TenMinutes:
         timers.Advance(CrashHistory::kRefuseTime);
@@ -96,6 +151,21 @@
     HistoryCase{ "AnsweredElsewhere",
                  { Event::Crash, Event::Crash, Event::Crash, Event::ReportOfAnswer },
                  CrashPrecaution::None },
+    HistoryCase{ "OneAtEachOfThreeInstances",
+                 { Event::Crash, Event::ReportOfOne, Event::ReportOfOne },
+                 CrashPrecaution::Refuse },
+    HistoryCase{ "SameWaveAtThreeInstances",
+                 { Event::Crash, Event::ReportOfSameWave, Event::ReportOfSameWave },
+                 CrashPrecaution::SingleAttempts },
+    HistoryCase{ "AnsweredByAnotherShard",
+                 { Event::Crash, Event::AnswerOfOtherPool, Event::Crash, Event::AnswerOfOtherPool, Event::Crash },
+                 CrashPrecaution::Refuse },
+    HistoryCase{ "ClearedCrashesStayCleared",
+                 { Event::Crash, Event::Crash, Event::Crash, Event::Answer, Event::ReportComesBack },
+                 CrashPrecaution::None },
+    HistoryCase{ "AfterTenMinutesItCountsAnew",
+                 { Event::Crash, Event::Crash, Event::Crash, Event::TenMinutes, Event::Crash },
+                 CrashPrecaution::SingleAttempts },
     HistoryCase{ "LongAgo", { Event::Crash, Event::Crash, Event::Crash, Event::TenMinutes }, CrashPrecaution::None }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
@@ -106,7 +176,8 @@
   CrashHistory first(timers);
   CrashHistory second(timers);
   const CallerRequest request = Request("/a");
-  first.OnReport({ RequestFingerprint(request), CrashHistory::kMaxCrashes, {} });
+  first.OnReport(ReportOfCrashes(request, CrashHistory::kMaxCrashes));
+  ASSERT_EQ(first.Check(request), CrashPrecaution::Refuse);
   for (int minute = 0; minute < 12; minute++) {
     timers.Advance(Seconds(60));
     for (const CrashReport& report : first.Reports(10)) {
@@ -193,7 +264,9 @@
   fixture.SetShardTargets(3, 2);
   CallerRequest request = Request("/gather/x");
   request.host_ = "host.example";
-  fixture.router_.Crashes().OnReport({ RequestFingerprint(request), 1, {} });
+  CrashReport report = ReportOfCrashes(request, 1);
+  report.crashes_[0].pool_ = Fingerprint(HashBytes("shard-0"));
+  fixture.router_.Crashes().OnReport(report);
   fixture.Submit("/gather/x");
   ASSERT_EQ(fixture.link_.sent_.size(), 1U);
   fixture.link_.End(0, Success("0123456789abcdef"));
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -433,7 +433,15 @@
   ASSERT_FALSE(subscribers.empty());
   for (unsigned crash = 0; crash < CrashHistory::kMaxCrashes; crash++) {
     fleet.Advance(Millis(400));
-    subscribers.front()->router_->Crashes().OnCrash(request, fleet.timers_.Now());
+    const TimePoint began = fleet.timers_.Now();
+    fleet.Advance(Millis(20));
+    subscribers[crash % subscribers.size()]->router_->Crashes().OnCrash(
+      { TargetName("t" + std::to_string(crash)),
+        TargetAddress("10.0.0.1:80"),
+        PoolName("s"),
+        std::make_shared<CallerRequest>(request),
+        began },
+      fleet.timers_.Now());
   }
   fleet.Advance(Seconds(2));
   EXPECT_TRUE(fleet.All(
