Judge the end of a stream behind the write that may have taken the reset

Seen by callers: half an answer without a length as a whole success.

Cause: a socket reports a reset once, and a write that goes on within its own handler may take it while a read is queued. If that read fills its buffer, the rest is read at once and the end of file is judged before the handler of the write has run.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -3,6 +3,7 @@
 #include "adapters/header_names.h"
 #include "adapters/read_buffer.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 
@@ -147,7 +148,7 @@
   } else {
     OnEndOfStream(aError);
   }
-  if (open_) {
+  if (open_ && !hasEnded_) {
     ReadSome();
   }
 }
@@ -221,10 +222,26 @@
   }
 }
 
-/// Decides how the connection has ended. Only an orderly end completes a reply without a length. A socket reports a
-/// reset once, and if a write takes it, the next read sees an end of file.
+/// A socket reports a reset once, and if a write takes it, the next read sees an end of file. The handler of that write
+/// may still be queued, so the end is judged behind it.
 void
 LoopHttpConnection::OnEndOfStream(const boost::system::error_code& aError)
+{
+  hasEnded_ = true;
+  if (aError != asio::error::eof || !writing_) {
+    JudgeEndOfStream(aError);
+    return;
+  }
+  asio::post(loop_, [self = shared_from_this(), aError] {
+    if (self->open_) {
+      self->JudgeEndOfStream(aError);
+    }
+  });
+}
+
+/// Decides how the connection has ended. Only an orderly end completes a reply without a length.
+void
+LoopHttpConnection::JudgeEndOfStream(const boost::system::error_code& aError)
 {
   const bool isOrderly = aError == asio::error::eof && !hasWriteFailed_;
   // Without a first byte the parser would make an empty reply of the close.
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -92,6 +92,7 @@
   void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
   void OnEndOfStream(const boost::system::error_code& aError);
+  void JudgeEndOfStream(const boost::system::error_code& aError);
   void OnParsed();
   void TakeReply();
   void NewParser();
@@ -108,6 +109,8 @@
   bool writing_ = false;
   /// A write has failed, so that the end of the stream may be a reset that was reported to the write.
   bool hasWriteFailed_ = false;
+  /// The stream has ended, so that nothing more is read.
+  bool hasEnded_ = false;
   bool expectsNoBody_ = false;
   RequestText request_;
   std::optional<Parser> parser_;
