Give settings that are empty their defaults, and peers any free port

Seen by operators: no start (exit 2) with a setting that is given but empty, although it has a default, and none on the settings of an older version, which have no peer-listen. A template leaves a setting empty, or only its unit, when the platform has no value for it.

Cause: only a missing line got the default, and peer-listen had none. Now all get it; without peer-listen peers are listened to at a free port of the callers' address, which the registration in the store names. Settings without a default must be given as before.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr const char* kAnyPort = "any-port";
+
 struct SettingSpec;
 
 /// Parses a value into its member of aSettings. Returns false and sets aReason if the value is invalid.
@@ -58,6 +60,13 @@
   return true;
 }
 
+/// The default leaves the address empty.
+bool
+ParsePeerAddress(const SettingSpec& aSpec, const std::string& aText, EntrySettings& aSettings, LastReason& aReason)
+{
+  return aText == kAnyPort || ParseAddress(aSpec, aText, aSettings, aReason);
+}
+
 bool
 ParseDuration(const SettingSpec& aSpec, const std::string& aText, EntrySettings& aSettings, LastReason& aReason)
 {
@@ -102,7 +111,11 @@
   { "listen", "", "address for callers", ParseAddress, &EntrySettings::callerAddress_ },
   { "ready-listen", "", "address for readiness checks", ParseAddress, &EntrySettings::readyAddress_ },
   { "metrics-listen", "", "address for metrics", ParseAddress, &EntrySettings::metricsAddress_ },
-  { "peer-listen", "", "address for other instances", ParseAddress, &EntrySettings::peerAddress_ },
+  { "peer-listen",
+    kAnyPort,
+    "address for other instances; any-port: a free port at the IP of listen",
+    ParsePeerAddress,
+    &EntrySettings::peerAddress_ },
   { "store", "", "address of the platform's store", ParseAddress, &EntrySettings::storeAddress_ },
   { "stop-time",
     "6s",
@@ -196,6 +209,13 @@
   return lines;
 }
 
+/// A platform that knows no value for a setting leaves it empty, or leaves only the unit that stands in the template.
+bool
+IsWithoutValue(const SettingSpec& aSpec, const std::string& aText)
+{
+  return aText.empty() || (aSpec.time_ != nullptr && (aText == "s" || aText == "ms"));
+}
+
 } // namespace
 
 std::optional<EntrySettings>
@@ -205,10 +225,14 @@
   EntrySettings settings;
   for (const SettingSpec& spec : kSettingSpecs) {
     auto found = lines.find(spec.name_);
-    const SettingLine line = found == lines.end() ? SettingLine{ 0, spec.default_ } : found->second;
+    SettingLine line;
     if (found != lines.end()) {
+      line = found->second;
       lines.erase(found);
     }
+    if (IsWithoutValue(spec, line.value_)) {
+      line.value_ = spec.default_;
+    }
     LastReason reason;
     if (line.value_.empty()) {
       aErrors.push_back({ line.number_, spec.name_, "must be given" });
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -17,7 +17,7 @@
   std::string callerAddress_;
   std::string readyAddress_;
   std::string metricsAddress_;
-  /// Address at which other instances reach this one.
+  /// Address at which other instances reach this one; empty for any free port at the IP of callerAddress_.
   std::string peerAddress_;
   std::string storeAddress_;
   /// Time from the stop signal until the process is killed.
@@ -40,7 +40,8 @@
   std::string text_;
 };
 
-/// Parses the settings. Returns no value and reports all errors if a required setting is missing or a value is invalid.
+/// Parses the settings. A setting that is missing or empty has its default. Returns no value and reports all errors if a
+/// required setting is missing or a value is invalid.
 /// Unknown names are added to aUnknown and otherwise ignored.
 std::optional<EntrySettings>
 ParseEntrySettings(const std::string& aText, std::vector<SettingError>& aErrors, std::vector<std::string>& aUnknown);
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -78,5 +78,15 @@
                                          AddressCase{ "Peers", &entry::EntrySettings::peerAddress_ }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// Guards against a new version that does not start on the settings of an older one, which had no address for peers.
+TEST(EntryProcess, StartsWithoutAnAddressForPeers)
+{
+  entry::EntrySettings settings = FreeSettings();
+  settings.peerAddress_ = "";
+  EntryProcess process(settings, "/nonexistent");
+  LastReason reason;
+  EXPECT_TRUE(process.Start(reason, Millis(300))) << reason.Text();
+}
+
 } // namespace
 } // namespace ibisrock::platform
