--- a/src/adapters/loop_timer_service.cpp
+++ b/src/adapters/loop_timer_service.cpp
@@ -55,11 +55,22 @@
 LoopTimerService::RunDue()
 {
   const TimePoint now = Now();
-  // A callback that subscribes must not arm the timer, because this function does so at its end.
+  // A callback that subscribes must not arm the timer, because this function does so at its end, also if a callback
+  // throws.
   armedFor_ = TimePoint::min();
+  struct ArmAtEnd
+  {
+    ~ArmAtEnd() { service_.ArmForNext(); }
+    LoopTimerService& service_;
+  } armAtEnd{ *this };
   while (!queue_.IsEmpty() && queue_.NextDue() <= now) {
     queue_.TakeNext()();
   }
+}
+
+void
+LoopTimerService::ArmForNext()
+{
   armedFor_ = TimePoint::max();
   if (!queue_.IsEmpty()) {
     Arm();
--- a/src/adapters/loop_timer_service.h
+++ b/src/adapters/loop_timer_service.h
@@ -21,6 +21,7 @@
 private:
   void Arm();
   void RunDue();
+  void ArmForNext();
 
   boost::asio::steady_timer timer_;
   TimerQueue queue_;
