--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -444,8 +444,16 @@
       fleet.timers_.Now());
   }
   fleet.Advance(Seconds(2));
-  EXPECT_TRUE(fleet.All(
-    [&](RelayFleet::Node& aNode) { return aNode.router_->Crashes().Check(request) == CrashPrecaution::Refuse; }));
+  auto isRefused = [&](RelayFleet::Node& aNode) {
+    return aNode.router_->Crashes().Check(request) == CrashPrecaution::Refuse;
+  };
+  EXPECT_TRUE(fleet.All(isRefused));
+  // A relay that starts again knows it as well, although its users ask it and nobody tells it.
+  RelayFleet::Node& relay = *fleet.Living(Discovery::Source::Store).front();
+  fleet.Kill(relay);
+  fleet.Advance(Millis(500));
+  fleet.StartInstance(relay);
+  EXPECT_TRUE(fleet.AdvanceUntil([&] { return isRefused(relay); }, Seconds(4)));
 }
 
 struct PeerBytesCase
