Play a request that crashes targets in the soak, and check its bound

The checker counts the retries sent by instances in touch later than the stable window after the third crash.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -60,7 +60,7 @@
     calls+=(--call "127.0.0.1:$((base + i * 4 + 1))")
   done
   "$build/ibisrock-emulator" --store-port "$base" --shards 10 --replicas 2 --rate 60 --seconds "$seconds" --seed "$1" \
-    --faults --once --signals "$dir/signals.log" "${options[@]}" "${calls[@]}" >"$dir/emulator.log" 2>&1 &
+    --faults --once --crashes --signals "$dir/signals.log" "${options[@]}" "${calls[@]}" >"$dir/emulator.log" 2>&1 &
   local emulator=$!
   for ((i = 0; i < instances; i++)); do start_instance "$i"; done
   sleep 3
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -40,9 +40,8 @@
   std::string text_;
 };
 
-/// Parses the settings. A setting that is missing or empty has its default. Returns no value and reports all errors if a
-/// required setting is missing or a value is invalid.
-/// Unknown names are added to aUnknown and otherwise ignored.
+/// Parses the settings. A setting that is missing or empty has its default. Returns no value and reports all errors if
+/// a required setting is missing or a value is invalid. Unknown names are added to aUnknown and otherwise ignored.
 std::optional<EntrySettings>
 ParseEntrySettings(const std::string& aText, std::vector<SettingError>& aErrors, std::vector<std::string>& aUnknown);
 
--- a/src/entry/loop_runner.cpp
+++ b/src/entry/loop_runner.cpp
@@ -28,8 +28,8 @@
       const bool isTolerated = tolerated.TryTake(aTimers.Now());
       aLogs.Write(LogLevel::Error,
                   kComponent,
-                  std::string("event=handler_failed reason=\"") + error.what() + "\" continues=" +
-                    (isTolerated ? "true" : "false"));
+                  std::string("event=handler_failed reason=\"") + error.what() +
+                    "\" continues=" + (isTolerated ? "true" : "false"));
       if (!isTolerated) {
         throw;
       }
--- a/src/process/crash_history.cpp
+++ b/src/process/crash_history.cpp
@@ -108,9 +108,8 @@
 bool
 CrashHistory::AddCrash(Entry& aEntry, const Crash& aCrash)
 {
-  const bool isKnown = std::any_of(aEntry.crashes_.begin(), aEntry.crashes_.end(), [&](const Crash& aKnown) {
-    return aKnown.run_ == aCrash.run_;
-  });
+  const bool isKnown = std::any_of(
+    aEntry.crashes_.begin(), aEntry.crashes_.end(), [&](const Crash& aKnown) { return aKnown.run_ == aCrash.run_; });
   const bool isCleared = std::any_of(aEntry.answers_.begin(), aEntry.answers_.end(), [&](const Answer& aAnswer) {
     return aAnswer.pool_ == aCrash.pool_ && aCrash.ended_ <= aAnswer.at_;
   });
@@ -119,9 +118,8 @@
   }
   std::vector<Crash> all = std::exchange(aEntry.crashes_, {});
   all.push_back(aCrash);
-  std::stable_sort(all.begin(), all.end(), [](const Crash& aLeft, const Crash& aRight) {
-    return aLeft.ended_ < aRight.ended_;
-  });
+  std::stable_sort(
+    all.begin(), all.end(), [](const Crash& aLeft, const Crash& aRight) { return aLeft.ended_ < aRight.ended_; });
   bool isCounted = false;
   for (const Crash& crash : all) {
     const bool isSeparate = aEntry.crashes_.empty() || crash.began_ >= aEntry.crashes_.back().ended_;
@@ -245,9 +243,8 @@
 size_t
 CrashHistory::Size() const
 {
-  return static_cast<size_t>(std::count_if(entries_.begin(), entries_.end(), [this](const auto& aEntry) {
-    return CountCrashes(&aEntry.second) > 0;
-  }));
+  return static_cast<size_t>(std::count_if(
+    entries_.begin(), entries_.end(), [this](const auto& aEntry) { return CountCrashes(&aEntry.second) > 0; }));
 }
 
 /// Makes room: what has lapsed goes, then the request with the fewest crashes that has not changed for longest.
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -87,12 +87,11 @@
     return;
   }
   found->second.isChecking_ = true;
-  link_.CheckReachable(
-    aTarget, found->second.address_, [weak = weak_from_this(), aTarget](Reachability aResult) {
-      if (auto self = weak.lock()) {
-        self->OnChecked(aTarget, aResult);
-      }
-    });
+  link_.CheckReachable(aTarget, found->second.address_, [weak = weak_from_this(), aTarget](Reachability aResult) {
+    if (auto self = weak.lock()) {
+      self->OnChecked(aTarget, aResult);
+    }
+  });
 }
 
 void
@@ -107,8 +106,7 @@
   std::vector<Suspect> watched;
   for (Suspect& suspect : std::exchange(found->second.suspects_, {})) {
     // A target that does not answer at all may be cut off, which says nothing of a run whose connection was not lost.
-    const bool hasCrashed =
-      aResult == Reachability::Refused || (aResult == Reachability::Silent && suspect.wasLost_);
+    const bool hasCrashed = aResult == Reachability::Refused || (aResult == Reachability::Silent && suspect.wasLost_);
     if (hasCrashed) {
       history_.OnCrash(suspect.run_, suspect.wasLost_ ? suspect.endedAt_ : now);
     } else if (!suspect.wasLost_ && now - suspect.endedAt_ < kLastCheck) {
--- a/src/request/pool_call.cpp
+++ b/src/request/pool_call.cpp
@@ -362,22 +362,21 @@
     verdict_ = Combine(verdict_, Verdict::MayHaveRun);
     attempt.target_->OnAbandoned(attempt.id_, now, now - attempt.sentAt_, attempt.expected_);
     // The run may be destroyed before the connection is released, so the callback captures only longer-lived state.
-    context.link_.AbandonCall(
-      attempt.id_,
-      aHow,
-      [target = attempt.target_,
-       id = attempt.id_,
-       sentAt = attempt.sentAt_,
-       request = scope_.request_,
-       crashes = context.crashes_,
-       &pool = context.Pool(pool_),
-       &timers = context.timers_](bool aWasLost) {
-        target->OnReleased(id);
-        if (aWasLost) {
-          crashes->OnConnectionLost(MakeTargetRun(*target, request, sentAt));
-        }
-        pool.pendingCalls_.OnCapacityAvailable(timers.Now());
-      });
+    context.link_.AbandonCall(attempt.id_,
+                              aHow,
+                              [target = attempt.target_,
+                               id = attempt.id_,
+                               sentAt = attempt.sentAt_,
+                               request = scope_.request_,
+                               crashes = context.crashes_,
+                               &pool = context.Pool(pool_),
+                               &timers = context.timers_](bool aWasLost) {
+                                target->OnReleased(id);
+                                if (aWasLost) {
+                                  crashes->OnConnectionLost(MakeTargetRun(*target, request, sentAt));
+                                }
+                                pool.pendingCalls_.OnCapacityAvailable(timers.Now());
+                              });
   }
 }
 
--- a/src/request/pool_call.h
+++ b/src/request/pool_call.h
@@ -75,8 +75,8 @@
   size_t AttemptCount() const { return sent_; }
   /// Time until the first target of the pool takes requests again; no value unless all of them pause.
   std::optional<Micros> PauseLeft() const;
-  /// Has up to aMaxCount attempts in flight watched for crashes of their targets, and returns their number. To be called
-  /// before the call is stopped, unless an answer came.
+  /// Has up to aMaxCount attempts in flight watched for crashes of their targets, and returns their number. To be
+  /// called before the call is stopped, unless an answer came.
   size_t WatchForCrashes(size_t aMaxCount);
 
 private:
--- a/tests/crash_spreader_test.cpp
+++ b/tests/crash_spreader_test.cpp
@@ -65,8 +65,8 @@
   unsigned arrivals_ = 0;
 };
 
-/// Guards against a relay, and with it its users, that never learns of a request that crashes targets because one report
-/// was lost or came while another one was under way.
+/// Guards against a relay, and with it its users, that never learns of a request that crashes targets because one
+/// report was lost or came while another one was under way.
 TEST_P(SpreadOfCrashes, ReachesTheRelay)
 {
   CrashHistory history(timers_);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -435,13 +435,12 @@
     fleet.Advance(Millis(400));
     const TimePoint began = fleet.timers_.Now();
     fleet.Advance(Millis(20));
-    subscribers[crash % subscribers.size()]->router_->Crashes().OnCrash(
-      { TargetName("t" + std::to_string(crash)),
-        TargetAddress("10.0.0.1:80"),
-        PoolName("s"),
-        std::make_shared<CallerRequest>(request),
-        began },
-      fleet.timers_.Now());
+    subscribers[crash % subscribers.size()]->router_->Crashes().OnCrash({ TargetName("t" + std::to_string(crash)),
+                                                                          TargetAddress("10.0.0.1:80"),
+                                                                          PoolName("s"),
+                                                                          std::make_shared<CallerRequest>(request),
+                                                                          began },
+                                                                        fleet.timers_.Now());
   }
   fleet.Advance(Seconds(2));
   auto isRefused = [&](RelayFleet::Node& aNode) {
--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -69,6 +69,21 @@
   }
 }
 
+/// Copies of the crashing request arrive aLater than its third crash.
+void
+CrashAndArrive(CheckerFixture& aFixture, unsigned aCrashes, Micros aLater, size_t aCount, size_t aInstance = 0)
+{
+  for (unsigned i = 0; i < aCrashes; i++) {
+    aFixture.checker_.OnCrash();
+  }
+  aFixture.timers_.Advance(aLater);
+  for (size_t i = 0; i < aCount; i++) {
+    const std::string id = "crash-" + std::to_string(i);
+    aFixture.checker_.OnSent(id, aInstance, { kPool });
+    aFixture.checker_.OnArrival(kTarget, kPool, id);
+  }
+}
+
 class CheckedRule : public testing::TestWithParam<CheckedCase>
 {};
 
@@ -104,6 +119,21 @@
                    LeaveAndArrive(aFixture, Seconds(20));
                  },
                  0 },
+    CheckedCase{ "ThreeLateRetriesOfACrashingRequest",
+                 [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 3, Millis(4100), 3); },
+                 0 },
+    CheckedCase{ "FourLateRetriesOfACrashingRequest",
+                 [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 3, Millis(4100), 4); },
+                 1 },
+    CheckedCase{ "FourSoonRetriesOfACrashingRequest",
+                 [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 3, Millis(3900), 4); },
+                 0 },
+    CheckedCase{ "FourRetriesAfterTwoCrashes",
+                 [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 2, Millis(4100), 4); },
+                 0 },
+    CheckedCase{ "FourLateRetriesAtADisturbedInstance",
+                 [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 3, Millis(4100), 4, 1); },
+                 0 },
     CheckedCase{ "SaidLeavingLongAgo",
                  [](CheckerFixture& aFixture) {
                    SayAndArrive(aFixture, { true, {} }, Millis(3100), 1);
