Check a lost target with a new connection, and again if the loss came during the check

By reading: the loss of one connection may show before that of an idle one, so that an open idle connection is no proof of life then; and a check that began before a loss says nothing of it. CrashWatch.LossIsCheckedWithANewConnection guards the first; the second has no test of its own.

--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -81,8 +81,12 @@
   if (found == targets_.end() || found->second.isChecking_) {
     return;
   }
-  if (link_.HasIdleConnection(aTarget)) {
-    // A crash would have closed it.
+  const std::vector<Suspect>& suspects = found->second.suspects_;
+  const bool hasLoss =
+    std::any_of(suspects.begin(), suspects.end(), [](const Suspect& aSuspect) { return aSuspect.wasLost_; });
+  found->second.checkBeganAt_ = timers_.Now();
+  // A crash closes idle connections too, but this instance may see that later than the loss of another one.
+  if (!hasLoss && link_.HasIdleConnection(aTarget)) {
     OnChecked(aTarget, Reachability::Reachable);
     return;
   }
@@ -101,23 +105,33 @@
   if (found == targets_.end()) {
     return;
   }
-  found->second.isChecking_ = false;
+  WatchedTarget& target = found->second;
+  target.isChecking_ = false;
   const TimePoint now = timers_.Now();
-  std::vector<Suspect> watched;
-  for (Suspect& suspect : std::exchange(found->second.suspects_, {})) {
+  bool checkAgain = false;
+  for (Suspect& suspect : std::exchange(target.suspects_, {})) {
     // A target that does not answer at all may be cut off, which says nothing of a run whose connection was not lost.
     const bool hasCrashed = aResult == Reachability::Refused || (aResult == Reachability::Silent && suspect.wasLost_);
     if (hasCrashed) {
       history_.OnCrash(suspect.run_, suspect.wasLost_ ? suspect.endedAt_ : now);
-    } else if (!suspect.wasLost_ && now - suspect.endedAt_ < kLastCheck) {
-      watched.push_back(std::move(suspect));
+    } else if (IsStillOpen(suspect, target.checkBeganAt_)) {
+      checkAgain = checkAgain || suspect.wasLost_;
+      target.suspects_.push_back(std::move(suspect));
     }
   }
-  if (watched.empty()) {
+  if (target.suspects_.empty()) {
     targets_.erase(found);
-  } else {
-    found->second.suspects_ = std::move(watched);
+  } else if (checkAgain) {
+    Check(aTarget);
   }
 }
 
+/// Whether a check that found the target alive says nothing of the run: the connection was lost after the check began,
+/// or the target may still be at work.
+bool
+CrashWatch::IsStillOpen(const Suspect& aSuspect, TimePoint aCheckBeganAt) const
+{
+  return aSuspect.wasLost_ ? aSuspect.endedAt_ > aCheckBeganAt : timers_.Now() - aSuspect.endedAt_ < kLastCheck;
+}
+
 } // namespace ibisrock
--- a/src/process/crash_watch.h
+++ b/src/process/crash_watch.h
@@ -48,6 +48,7 @@
     TargetAddress address_;
     std::vector<Suspect> suspects_;
     bool isChecking_ = false;
+    TimePoint checkBeganAt_;
   };
 
   CrashWatch(TimerService& aTimers, TargetLink& aLink);
@@ -55,6 +56,7 @@
   void CheckLater(const TargetName& aTarget, Micros aDelay);
   void Check(const TargetName& aTarget);
   void OnChecked(const TargetName& aTarget, Reachability aResult);
+  bool IsStillOpen(const Suspect& aSuspect, TimePoint aCheckBeganAt) const;
 
   TimerService& timers_;
   TargetLink& link_;
--- a/tests/crash_watch_test.cpp
+++ b/tests/crash_watch_test.cpp
@@ -115,6 +115,19 @@
                                          CheckCase{ "CutOff", false, false, true, 2, 0 }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// Guards against a crash that is passed over because the loss of one connection shows before that of an idle one.
+TEST(CrashWatch, LossIsCheckedWithANewConnection)
+{
+  RouterFixture fixture;
+  fixture.SetRoutes({ RouterFixture::RelayRoute(RequestKind::NonIdempotent) });
+  fixture.SetTargets({ "pool" }, 1);
+  fixture.Submit("/relay/x");
+  fixture.link_.connected_.insert("pool/0");
+  fixture.link_.unreachable_.insert("pool/0");
+  fixture.link_.End(0, Failure(Verdict::MayHaveRun, Reason::ConnectionLost));
+  EXPECT_EQ(fixture.router_.Crashes().Size(), 1U);
+}
+
 /// Guards against the count of one crash for a run that crashes two targets one after the other.
 TEST(CrashWatch, EachAttemptOfARunCountsAlone)
 {
