Give each test run ports of its own that the system gives to nobody else

Cause: a test asked for a free port by binding to port 0, closed the socket and listened on the port a moment later. In between the system could give the same port to another test run that bound to port 0. Change: FreePort takes ports below the range that the system gives out, and claims each among all test runs by a socket with an abstract name. Evidence: CliApply.DryRunNamesServicesAndChangesNothing failed once in the address sanitizer build with "cannot listen on 127.0.0.1:52151: Address already in use".

--- a/tests/free_port.h
+++ b/tests/free_port.h
@@ -1,12 +1,8 @@
 #ifndef IBISROCK_TESTS_FREE_PORT_H
 #define IBISROCK_TESTS_FREE_PORT_H
 
-#include <cerrno>
-#include <netinet/in.h>
+#include <cstdint>
 #include <string>
-#include <sys/socket.h>
-#include <system_error>
-#include <unistd.h>
 
 namespace ibisrock {
 
@@ -14,22 +10,8 @@
 class ReservedPort
 {
 public:
-  ReservedPort()
-    : socket_(socket(AF_INET, SOCK_STREAM, 0))
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    if (bind(socket_, generic, size) != 0 || getsockname(socket_, generic, &size) != 0) {
-      const int error = errno;
-      close(socket_);
-      throw std::system_error(error, std::generic_category(), "no free port");
-    }
-    port_ = ntohs(address.sin_port);
-  }
-  ~ReservedPort() { close(socket_); }
+  ReservedPort();
+  ~ReservedPort();
 
   ReservedPort(const ReservedPort&) = delete;
   ReservedPort& operator=(const ReservedPort&) = delete;
@@ -42,19 +24,13 @@
   uint16_t port_ = 0;
 };
 
-/// A loopback port to listen on, so that several test runs can share a machine. To be asked for just before listening,
-/// because another process can take the port in between.
-inline uint16_t
-FreePort()
-{
-  return ReservedPort().Port();
-}
+/// A loopback port to listen on, which no other test run is given while this one lasts. It is none of those that the
+/// system gives out by itself, because it could give it to another process before the test listens on it.
+uint16_t
+FreePort();
 
-inline std::string
-FreeAddress()
-{
-  return ReservedPort().Address();
-}
+std::string
+FreeAddress();
 
 } // namespace ibisrock
 
