Count what the pools of a route are owed in requests, so that new weights hold at once

Cause: the weighted selection keeps for each pool how much it is owed, in units of the weights. What was left under weights like 900 and 100 is up to hundreds of times a weight of 1, so that after a change to 1 and 1 one pool got hundreds of requests in a row. Change: the selection counts in shares of the sum of the weights, which is requests. Router.SplitsRequestsByWeight passes as before.

--- a/src/process/route_state.cpp
+++ b/src/process/route_state.cpp
@@ -14,7 +14,8 @@
 
 } // namespace
 
-/// The initial weights are random, because otherwise all instances would send their first requests to the same pool.
+/// What each pool is owed is counted in requests, so that it means the same under other weights. It is random at first,
+/// because otherwise all instances would send their first requests to the same pool.
 const PoolName&
 RouteState::PickPool(const std::vector<WeightedPool>& aPools, Random& aRandom)
 {
@@ -23,16 +24,17 @@
     total += pool.weight_;
   }
   const WeightedPool* best = nullptr;
-  double* bestWeight = nullptr;
+  double* mostOwed = nullptr;
   for (const WeightedPool& pool : aPools) {
-    double& currentWeight = currentWeights_.try_emplace(pool.pool_, aRandom.Unit() * pool.weight_).first->second;
-    currentWeight += pool.weight_;
-    if (pool.weight_ > 0 && (best == nullptr || currentWeight > *bestWeight)) {
+    const double share = pool.weight_ / total;
+    double& owed = owedRequests_.try_emplace(pool.pool_, aRandom.Unit() * share).first->second;
+    owed += share;
+    if (pool.weight_ > 0 && (best == nullptr || owed > *mostOwed)) {
       best = &pool;
-      bestWeight = &currentWeight;
+      mostOwed = &owed;
     }
   }
-  *bestWeight -= total;
+  *mostOwed -= 1;
   return best->pool_;
 }
 
--- a/src/process/route_state.h
+++ b/src/process/route_state.h
@@ -36,7 +36,8 @@
 private:
   LatencyTracker latencies_;
   Micros meanLatency_{};
-  std::unordered_map<PoolName, double> currentWeights_;
+  /// Requests that each pool should have got and has not.
+  std::unordered_map<PoolName, double> owedRequests_;
   TimePoint lastRetryAt_{};
 };
 
