Use targets that leave for a while where their pool has no other, and keep notices without an entry

Cause: a target that was announced as leaving, in the store or in its answers, was out of use at once. Beside it: what a target said in an answer while its entry was missing was dropped, so that the target was used again when the same entry came back. Change: TargetDirectory keeps the leaving targets of a pool apart and offers them when there are no others, for half of leave-time from when they were seen to leave. The end is a time that is checked at each choice, not a timer, so that a process that was held up does not use them longer. Not used: targets that were not seen serving before, and those in the first list after an outage, because it is not known for how long they have been leaving. Configurations with new pools still wait for targets that serve. Notices are kept by the incarnation of the call, with or without an entry; one of an earlier incarnation than the known is passed over as before. Ruled out: leaving targets beside others that only pause or back off. They stay unused; a pause ends, and a target that backs off is tried again.

--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -51,7 +51,7 @@
   , timers_(aTimers)
   , log_(aLog)
   , link_(aLink)
-  , targets_(aTimers, [&aLink](const TargetName& aName) { aLink.Forget(aName); })
+  , targets_(aTimers, settings_.leavingUse_, [&aLink](const TargetName& aName) { aLink.Forget(aName); })
   , startedAt_(aTimers.Now())
   , latestRate_(kLatestRateTime)
   , usualRate_(kUsualRateTime)
@@ -157,16 +157,19 @@
     // Instances that were turned away together do not return together.
     *notice.pause_ += Scale(kPauseSpread, context_.random_.Unit());
   }
-  const TargetPtr target = targets_.TakeNotice(aCall.target_, aCall.targetStartedAt_, notice);
-  if (!target) {
+  const std::optional<TimePoint> pauseEnd = targets_.TakeNotice(aCall, notice);
+  if (!pauseEnd) {
     return;
   }
   if (log_ != nullptr) {
     log_->OnNotice(aCall, aNotice);
   }
   if (notice.pause_) {
-    timers_.After(target->PauseEnd() - timers_.Now(), [this, pool = target->Record().pool_] {
-      context_.Pool(pool).pendingCalls_.OnCapacityAvailable(timers_.Now());
+    // The entry of the target may be missing now and be back then.
+    timers_.After(*pauseEnd - timers_.Now(), [this, name = aCall.target_] {
+      if (const TargetPtr target = targets_.Find(name)) {
+        context_.Pool(target->Record().pool_).pendingCalls_.OnCapacityAvailable(timers_.Now());
+      }
     });
   }
 }
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -31,6 +31,8 @@
   InstanceId instance_;
   DataCentre dataCentre_;
   RouterLimits limits_;
+  /// Time for which a target that leaves is still used while its pool has no other.
+  Micros leavingUse_ = Millis(1500);
 };
 
 /// Matches caller requests to routes and executes them. Owns the active route table, the per-route and per-pool state,
@@ -53,7 +55,7 @@
   void RemoveTarget(const TargetName& aName) { targets_.Remove(aName); }
   size_t TargetCount() const { return targets_.Size(); }
   /// Whether the pool has a target that accepts calls.
-  bool HasTargets(const PoolName& aPool) const { return !targets_.TargetsOf(aPool).empty(); }
+  bool HasTargets(const PoolName& aPool) const { return targets_.HasServingTargets(aPool); }
   size_t InstanceCount() const { return instances_; }
 
   /// Whether configuration and target updates are being received. While they are not, a request without a matching
--- a/src/process/target.cpp
+++ b/src/process/target.cpp
@@ -61,6 +61,7 @@
     saturatedUntil_ = {};
     saturationBackOff_ = {};
     pauseEnd_ = {};
+    usableUntil_.reset();
   }
   record_ = aRecord;
   warmUpEnd_ = aNow + aRecord.warmUpLeft_;
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -38,6 +38,13 @@
   /// Replaces the record. A changed start time or address resets the latency, failure and back-off statistics.
   void Update(const TargetRecord& aRecord, TimePoint aNow);
 
+  /// The target leaves and may be sent calls until aEnd only.
+  void LeaveAt(TimePoint aEnd) { usableUntil_ = aEnd; }
+  /// The target serves again.
+  void Stay() { usableUntil_.reset(); }
+  bool IsLeaving() const { return usableUntil_.has_value(); }
+  bool HasLeft(TimePoint aNow) const { return usableUntil_ && aNow >= *usableUntil_; }
+
   bool IsRemoved() const { return removed_; }
   void MarkRemoved() { removed_ = true; }
 
@@ -115,6 +122,7 @@
   Micros backOff_{};
   TimePoint saturatedUntil_{};
   TimePoint pauseEnd_{};
+  std::optional<TimePoint> usableUntil_;
   Micros saturationBackOff_{};
 };
 
--- a/src/process/target_choice.cpp
+++ b/src/process/target_choice.cpp
@@ -45,7 +45,8 @@
   double best = 0;
   for (const TargetPtr& target : aTargets) {
     const bool pausesTooLong = target->IsPaused(aContext.now_) && target->PauseEnd() >= aContext.deadline_;
-    if (target->IsRemoved() || target->IsBackingOff(aContext.now_) || pausesTooLong || IsExcluded(*target, aContext)) {
+    if (target->IsRemoved() || target->HasLeft(aContext.now_) || target->IsBackingOff(aContext.now_) || pausesTooLong ||
+        IsExcluded(*target, aContext)) {
       continue;
     }
     if (!target->HasCapacity(aContext.now_)) {
--- a/src/process/target_directory.cpp
+++ b/src/process/target_directory.cpp
@@ -4,8 +4,30 @@
 
 namespace ibisrock {
 
-TargetDirectory::TargetDirectory(TimerService& aTimers, OnRemovedOrRestarted aOnRemovedOrRestarted)
+namespace {
+
+bool
+IsSameIncarnation(const TargetRecord& aLeft, const TargetRecord& aRight)
+{
+  return aLeft.address_ == aRight.address_ && aLeft.startedAt_ == aRight.startedAt_;
+}
+
+/// What is known of the target of a call without its entry.
+TargetRecord
+MakeRecord(const TargetCall& aCall)
+{
+  TargetRecord record;
+  record.name_ = aCall.target_;
+  record.address_ = aCall.address_;
+  record.startedAt_ = aCall.targetStartedAt_;
+  return record;
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(TimerService& aTimers, Micros aLeavingUse, OnRemovedOrRestarted aOnRemovedOrRestarted)
   : timers_(aTimers)
+  , leavingUse_(aLeavingUse)
   , onRemovedOrRestarted_(std::move(aOnRemovedOrRestarted))
 {
 }
@@ -16,7 +38,7 @@
   std::unordered_set<TargetName> listed;
   for (const TargetRecord& record : aRecords) {
     listed.insert(record.name_);
-    Upsert(record);
+    Upsert(record, aAfterOutage);
   }
   std::vector<TargetName> missing;
   for (const auto& [name, target] : byName_) {
@@ -47,8 +69,9 @@
   });
 }
 
+/// After an outage it is not known for how long a target has been leaving already.
 void
-TargetDirectory::Upsert(const TargetRecord& aRecord)
+TargetDirectory::Upsert(const TargetRecord& aRecord, bool aAfterOutage)
 {
   retained_.erase(aRecord.name_);
   notices_.OnRecord(aRecord);
@@ -57,16 +80,17 @@
     auto target = std::make_shared<Target>(aRecord, timers_.Now());
     byName_.emplace(aRecord.name_, target);
     ApplyNotices(target);
-    AddToPool(target);
+    AddToPool(target, false);
     return;
   }
   TargetPtr target = found->second;
-  RemoveFromPool(target);
-  if (target->Record().address_ != aRecord.address_ || target->Record().startedAt_ != aRecord.startedAt_) {
+  const bool wasServing = RemoveFromPool(target);
+  const bool isSame = IsSameIncarnation(target->Record(), aRecord);
+  if (!isSame) {
     onRemovedOrRestarted_(aRecord.name_);
   }
   target->Update(aRecord, timers_.Now());
-  AddToPool(target);
+  AddToPool(target, wasServing && isSame && !aAfterOutage);
 }
 
 void
@@ -83,26 +107,48 @@
   onRemovedOrRestarted_(aName);
 }
 
+TargetPtr
+TargetDirectory::Find(const TargetName& aName) const
+{
+  auto found = byName_.find(aName);
+  return found == byName_.end() ? nullptr : found->second;
+}
+
 std::span<const TargetPtr>
 TargetDirectory::TargetsOf(const PoolName& aPool) const
 {
   auto found = byPool_.find(aPool);
-  return found == byPool_.end() ? std::span<const TargetPtr>() : found->second;
+  if (found == byPool_.end()) {
+    return {};
+  }
+  return found->second.serving_.empty() ? found->second.leaving_ : found->second.serving_;
 }
 
-TargetPtr
-TargetDirectory::TakeNotice(const TargetName& aName, uint64_t aStartedAt, const TargetNotice& aNotice)
+bool
+TargetDirectory::HasServingTargets(const PoolName& aPool) const
 {
-  auto found = byName_.find(aName);
-  if (found == byName_.end() || found->second->Record().startedAt_ != aStartedAt) {
-    return nullptr;
+  auto found = byPool_.find(aPool);
+  return found != byPool_.end() && !found->second.serving_.empty();
+}
+
+std::optional<TimePoint>
+TargetDirectory::TakeNotice(const TargetCall& aCall, const TargetNotice& aNotice)
+{
+  const TargetRecord record = MakeRecord(aCall);
+  const TargetPtr target = Find(aCall.target_);
+  const bool isEarlier =
+    target && (target->Record().startedAt_ > record.startedAt_ ||
+               (target->Record().startedAt_ == record.startedAt_ && target->Record().address_ != record.address_));
+  if (isEarlier) {
+    return std::nullopt;
   }
-  TargetPtr target = found->second;
-  notices_.Add(target->Record(), aNotice, timers_.Now());
-  RemoveFromPool(target);
-  ApplyNotices(target);
-  AddToPool(target);
-  return target;
+  notices_.Add(record, aNotice, timers_.Now());
+  if (target) {
+    const bool wasServing = RemoveFromPool(target);
+    ApplyNotices(target);
+    AddToPool(target, wasServing);
+  }
+  return notices_.PauseEnd(record);
 }
 
 void
@@ -114,21 +160,36 @@
   }
 }
 
+/// A target that leaves is used on only if it was seen serving before, because it is not known since when another one
+/// leaves.
 void
-TargetDirectory::AddToPool(const TargetPtr& aTarget)
+TargetDirectory::AddToPool(const TargetPtr& aTarget, bool aWasServing)
 {
+  PoolTargets& pool = byPool_[aTarget->Record().pool_];
   if (!aTarget->Record().isLeaving_ && !notices_.IsLeaving(aTarget->Record())) {
-    byPool_[aTarget->Record().pool_].push_back(aTarget);
+    aTarget->Stay();
+    pool.serving_.push_back(aTarget);
+    return;
+  }
+  const TimePoint now = timers_.Now();
+  if (!aTarget->IsLeaving()) {
+    aTarget->LeaveAt(aWasServing ? now + leavingUse_ : now);
+  }
+  if (!aTarget->HasLeft(now)) {
+    pool.leaving_.push_back(aTarget);
   }
 }
 
-void
+/// Returns whether the target was one that does not leave.
+bool
 TargetDirectory::RemoveFromPool(const TargetPtr& aTarget)
 {
   auto found = byPool_.find(aTarget->Record().pool_);
-  if (found != byPool_.end()) {
-    std::erase(found->second, aTarget);
+  if (found == byPool_.end()) {
+    return false;
   }
+  std::erase(found->second.leaving_, aTarget);
+  return std::erase(found->second.serving_, aTarget) > 0;
 }
 
 } // namespace ibisrock
--- a/src/process/target_directory.h
+++ b/src/process/target_directory.h
@@ -13,7 +13,8 @@
 
 namespace ibisrock {
 
-/// The targets published by discovery, indexed by name and pool. Not thread-safe.
+/// The targets published by discovery, indexed by name and pool. A target that leaves serves on for a while; it is used
+/// during part of that time where its pool has no other. Not thread-safe.
 class TargetDirectory
 {
 public:
@@ -24,19 +25,25 @@
   /// targets register again within two seconds of the return of discovery.
   static constexpr Micros kMissingTargetRetention = Millis(2000);
 
-  TargetDirectory(TimerService& aTimers, OnRemovedOrRestarted aOnRemovedOrRestarted);
+  /// aLeavingUse is the time for which a target is used after it was seen to leave.
+  TargetDirectory(TimerService& aTimers, Micros aLeavingUse, OnRemovedOrRestarted aOnRemovedOrRestarted);
 
   /// Replaces the full list. After a discovery outage, missing targets are kept for kMissingTargetRetention.
   void Replace(const std::vector<TargetRecord>& aRecords, bool aAfterOutage);
-  void Upsert(const TargetRecord& aRecord);
+  void Upsert(const TargetRecord& aRecord) { Upsert(aRecord, false); }
   void Remove(const TargetName& aName);
 
-  /// Takes what a target has said of itself. aStartedAt tells which incarnation has said it; another one than the known
-  /// is passed over. Returns the target, or null.
-  TargetPtr TakeNotice(const TargetName& aName, uint64_t aStartedAt, const TargetNotice& aNotice);
+  /// Takes what the target of a call has said of itself, also while its entry is missing; passes over what an earlier
+  /// incarnation than the known one has said. Returns the end of the target's pause, which may be past, or no value if
+  /// it was passed over.
+  std::optional<TimePoint> TakeNotice(const TargetCall& aCall, const TargetNotice& aNotice);
 
-  /// Targets of the pool that accept new calls, in unspecified order.
+  /// Returns the target, or null.
+  TargetPtr Find(const TargetName& aName) const;
+  /// Targets of the pool that accept new calls, in unspecified order. If it has none, those that leave.
   std::span<const TargetPtr> TargetsOf(const PoolName& aPool) const;
+  /// Whether the pool has a target that does not leave.
+  bool HasServingTargets(const PoolName& aPool) const;
   template<typename Visitor>
   void ForEach(Visitor aVisitor) const
   {
@@ -47,16 +54,24 @@
   size_t Size() const { return byName_.size(); }
 
 private:
+  struct PoolTargets
+  {
+    std::vector<TargetPtr> serving_;
+    std::vector<TargetPtr> leaving_;
+  };
+
+  void Upsert(const TargetRecord& aRecord, bool aAfterOutage);
   void Retain(const TargetName& aName);
-  void AddToPool(const TargetPtr& aTarget);
-  void RemoveFromPool(const TargetPtr& aTarget);
+  void AddToPool(const TargetPtr& aTarget, bool aWasServing);
+  bool RemoveFromPool(const TargetPtr& aTarget);
   void ApplyNotices(const TargetPtr& aTarget);
 
   TimerService& timers_;
+  const Micros leavingUse_;
   const OnRemovedOrRestarted onRemovedOrRestarted_;
   TargetNotices notices_;
   std::unordered_map<TargetName, TargetPtr> byName_;
-  std::unordered_map<PoolName, std::vector<TargetPtr>> byPool_;
+  std::unordered_map<PoolName, PoolTargets> byPool_;
   /// Targets that were missing after a discovery outage and have not registered again.
   std::unordered_set<TargetName> retained_;
 };
--- a/src/process/wait_estimate.cpp
+++ b/src/process/wait_estimate.cpp
@@ -13,8 +13,8 @@
 bool
 IsExpectedToReply(const Target& aTarget, const PendingCall& aCall, TimePoint aNow)
 {
-  return !aTarget.IsRemoved() && !aTarget.IsBackingOff(aNow) && aTarget.PauseEnd() < aCall.deadline_ &&
-         aNow + aTarget.OldestCallAge(aNow) < aCall.deadline_;
+  return !aTarget.IsRemoved() && !aTarget.HasLeft(aNow) && !aTarget.IsBackingOff(aNow) &&
+         aTarget.PauseEnd() < aCall.deadline_ && aNow + aTarget.OldestCallAge(aNow) < aCall.deadline_;
 }
 
 /// Calls per second that the targets complete for this instance, derived from their concurrency limits and reply times.
--- a/tests/target_notices_test.cpp
+++ b/tests/target_notices_test.cpp
@@ -185,6 +185,125 @@
   EXPECT_GE(fixture.timers_.Now() - submittedAt, test.pause_ - Millis(10));
 }
 
+/// Guards against a notice that is lost because the entry of its target is missing when the answer comes.
+TEST(Router, KeepsWhatATargetSaysWhileItsEntryIsMissing)
+{
+  NoticeFixture fixture(1);
+  fixture.Submit("/relay/x");
+  fixture.router_.RemoveTarget(TargetName("pool/0"));
+  fixture.link_.onNotice_(fixture.link_.sent_[0].call_, { true, std::nullopt });
+  fixture.link_.End(0, Success("x"));
+  fixture.ListTargets();
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.CallsTo("pool/0", 1), 0U);
+  EXPECT_EQ(fixture.replies_.size(), 2U);
+}
+
+/// Guards against a notice of an earlier incarnation that ends the use of the present one.
+TEST(Router, PassesOverWhatAnEarlierIncarnationHasSaid)
+{
+  NoticeFixture fixture(1);
+  fixture.Submit("/relay/x");
+  TargetRecord restarted = RouterFixture::MakeTarget("pool/0", "pool");
+  restarted.startedAt_ = 5;
+  fixture.router_.UpsertTarget(restarted);
+  fixture.link_.onNotice_(fixture.link_.sent_[0].call_, { true, std::nullopt });
+  fixture.timers_.Advance(Seconds(5));
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.CallsTo("pool/0", 1), 1U);
+}
+
+/// How the targets of a pool leave, and what becomes of a request some time later.
+struct LeavingCase
+{
+  const char* name_;
+  /// How many of two targets leave.
+  size_t leaving_;
+  bool tellsInAnswers_;
+  /// Whether the instance has known the targets before, and without an outage since.
+  bool wasKnown_;
+  bool isAfterOutage_;
+  Millis later_;
+  bool isSent_;
+};
+
+class AllTargetsLeave : public testing::TestWithParam<LeavingCase>
+{
+protected:
+  static TargetRecord Leaving(const std::string& aName, bool aIsLeaving)
+  {
+    TargetRecord record = RouterFixture::MakeTarget(aName, "pool");
+    record.isLeaving_ = aIsLeaving;
+    return record;
+  }
+
+  static void Leave(NoticeFixture& aFixture)
+  {
+    const LeavingCase& test = GetParam();
+    if (test.tellsInAnswers_) {
+      for (size_t i = 0; i < test.leaving_; i++) {
+        const TargetName name("pool/" + std::to_string(i));
+        aFixture.link_.onNotice_({ name, TargetAddress("10.0.0.1:80"), nullptr, {}, 0 }, { true, std::nullopt });
+      }
+      return;
+    }
+    if (!test.wasKnown_) {
+      aFixture.router_.ReplaceTargets({}, false);
+    }
+    aFixture.router_.ReplaceTargets({ Leaving("pool/0", true), Leaving("pool/1", test.leaving_ == 2) },
+                                    test.isAfterOutage_);
+  }
+};
+
+/// Guards against requests that are refused although the targets of their pool still serve for a while, and against
+/// requests at a target whose time is over or not known, also when this process was held up meanwhile.
+TEST_P(AllTargetsLeave, AreUsedForAWhileOnlyWithoutAnother)
+{
+  const LeavingCase& test = GetParam();
+  NoticeFixture fixture(2);
+  Leave(fixture);
+  fixture.timers_.Advance(test.later_);
+  fixture.Submit("/relay/x");
+  ASSERT_EQ(fixture.link_.sent_.size(), test.isSent_ ? 1U : 0U);
+  // What can't be served is refused at once.
+  EXPECT_EQ(fixture.replies_.size(), test.isSent_ ? 0U : 1U);
+  if (test.leaving_ == 1) {
+    EXPECT_EQ(fixture.link_.Targets()[0], "pool/1");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Router,
+                         AllTargetsLeave,
+                         testing::Values(LeavingCase{ "InTheStore", 2, false, true, false, Millis(1400), true },
+                                         LeavingCase{ "InAnswers", 2, true, true, false, Millis(1400), true },
+                                         LeavingCase{ "LongAgo", 2, false, true, false, Millis(1501), false },
+                                         LeavingCase{ "LongAgoInAnswers", 2, true, true, false, Millis(1501), false },
+                                         LeavingCase{ "OneOfTwo", 1, false, true, false, Millis(1), true },
+                                         LeavingCase{ "NewToThisInstance", 2, false, false, false, Millis(1), false },
+                                         LeavingCase{ "AfterAnOutage", 2, false, true, true, Millis(1), false }),
+                         [](const auto& aInfo) { return aInfo.param.name_; });
+
+/// Guards against a target whose time is renewed each time that its entry comes again, and against a new incarnation
+/// that inherits the end of the earlier one.
+TEST(Router, TimeOfALeavingTargetIsNotRenewed)
+{
+  NoticeFixture fixture(1);
+  TargetRecord record = RouterFixture::MakeTarget("pool/0", "pool");
+  record.isLeaving_ = true;
+  for (int i = 0; i < 4; i++) {
+    record.warmUpLeft_ = Millis(i);
+    fixture.router_.UpsertTarget(record);
+    fixture.timers_.Advance(Millis(500));
+  }
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.link_.sent_.size(), 0U);
+  record.isLeaving_ = false;
+  record.startedAt_ = 5;
+  fixture.router_.UpsertTarget(record);
+  fixture.Submit("/relay/x");
+  EXPECT_EQ(fixture.link_.sent_.size(), 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Router,
                          AllTargetsPause,
                          testing::Values(AllPauseCase{ "ShortPause", Millis(200), Millis(900), true },
