Do not take a lack of descriptors in this process for the crash of a target

Cause: after a lost connection the target is checked with a new one. A connection that this process could not even try (no descriptors, ports or buffers left) had the same result as a target that does not answer, which counts as a crash of the request. An instance that is out of descriptors and loses connections would report sound requests as crashing, and the fleet would refuse them. Change: ConnectResult::NotTried and Reachability::Unknown. Nothing is concluded from them. Named alike now: a target that has as many connections as it takes is ConnectResult::OverLimit (was Refused), one without a listener is NoListener in both (was Reachability::Refused). Evidence: found by reading.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -21,6 +21,23 @@
 /// Keep-alive time of targets that state none.
 constexpr Micros kDefaultKeepAlive = Seconds(20);
 
+Reachability
+ReachabilityOf(LoopHttpConnection::ConnectResult aResult)
+{
+  using ConnectResult = LoopHttpConnection::ConnectResult;
+  switch (aResult) {
+    case ConnectResult::Connected:
+    case ConnectResult::OverLimit:
+      return Reachability::Reachable;
+    case ConnectResult::NoListener:
+      return Reachability::NoListener;
+    case ConnectResult::NotTried:
+      return Reachability::Unknown;
+    default:
+      return Reachability::Silent;
+  }
+}
+
 /// Reads a number of seconds with an optional fraction. What is not one, or not positive, says nothing.
 std::optional<Micros>
 ParseSeconds(std::string_view aText)
@@ -144,11 +161,9 @@
   Call& call = found->second;
   timers_.Cancel(call.timer_);
   using ConnectResult = LoopHttpConnection::ConnectResult;
-  call.reachability_ = aResult == ConnectResult::NoListener ? Reachability::Refused
-                       : aResult == ConnectResult::Failed   ? Reachability::Silent
-                                                            : Reachability::Reachable;
+  call.reachability_ = ReachabilityOf(aResult);
   if (aResult != ConnectResult::Connected) {
-    const bool isFull = aResult == ConnectResult::Refused;
+    const bool isFull = aResult == ConnectResult::OverLimit;
     End(aId, MakeFailure(Verdict::NotRun, isFull ? Reason::OverLimit : Reason::ConnectFailed));
   } else if (!call.callback_) {
     // Abandoned before it was sent: the connection serves the next call.
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -16,6 +16,24 @@
 
 constexpr uint32_t kLargestHeader = 64 << 10;
 
+LoopHttpConnection::ConnectResult
+ResultOf(const boost::system::error_code& aError)
+{
+  using Result = LoopHttpConnection::ConnectResult;
+  if (aError == asio::error::connection_reset) {
+    return Result::OverLimit;
+  }
+  if (aError == asio::error::connection_refused) {
+    return Result::NoListener;
+  }
+  using boost::system::errc::errc_t;
+  const auto is = [&aError](errc_t aKind) { return aError == boost::system::errc::make_error_condition(aKind); };
+  const bool lacksMeans = is(errc_t::too_many_files_open) || is(errc_t::too_many_files_open_in_system) ||
+                          is(errc_t::address_not_available) || is(errc_t::no_buffer_space) ||
+                          is(errc_t::not_enough_memory);
+  return lacksMeans ? Result::NotTried : Result::Failed;
+}
+
 /// Reads "timeout=5" of a Keep-Alive field.
 std::optional<Micros>
 ParseKeepAlive(std::string_view aText)
@@ -76,9 +94,7 @@
         return;
       }
       if (aError) {
-        onConnected(aError == asio::error::connection_reset     ? ConnectResult::Refused
-                    : aError == asio::error::connection_refused ? ConnectResult::NoListener
-                                                                : ConnectResult::Failed);
+        onConnected(ResultOf(aError));
         return;
       }
       boost::system::error_code ignored;
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -46,9 +46,11 @@
   {
     Connected,
     /// The server is there and closed the connection at once, because it has as many as it takes.
-    Refused,
+    OverLimit,
     /// The host is there, and nothing listens on the port.
     NoListener,
+    /// This process has no means for a further connection, so the server was not asked.
+    NotTried,
     Failed,
   };
 
--- a/src/base/target_link.h
+++ b/src/base/target_link.h
@@ -63,9 +63,11 @@
   /// It takes connections, or has as many as it takes.
   Reachable,
   /// Nothing listens at its address.
-  Refused,
+  NoListener,
   /// No answer, or none that tells.
   Silent,
+  /// This process could not try.
+  Unknown,
 };
 
 /// Sends requests to targets over kept connections. Every call is sent at most once. Used on one thread.
--- a/src/process/crash_watch.cpp
+++ b/src/process/crash_watch.cpp
@@ -111,7 +111,9 @@
   bool checkAgain = false;
   for (Suspect& suspect : std::exchange(target.suspects_, {})) {
     // A target that does not answer at all may be cut off, which says nothing of a run whose connection was not lost.
-    const bool hasCrashed = aResult == Reachability::Refused || (aResult == Reachability::Silent && suspect.wasLost_);
+    // Without an attempt to connect, nothing is known of the target.
+    const bool hasCrashed =
+      aResult == Reachability::NoListener || (aResult == Reachability::Silent && suspect.wasLost_);
     if (hasCrashed) {
       history_.OnCrash(suspect.run_, suspect.wasLost_ ? suspect.endedAt_ : now);
     } else if (IsStillOpen(suspect, target.checkBeganAt_)) {
--- a/tests/fake_target_link.h
+++ b/tests/fake_target_link.h
@@ -61,7 +61,8 @@
   {
     checked_.push_back(aTarget.Value());
     aOnChecked(silent_.contains(aTarget.Value())        ? Reachability::Silent
-               : unreachable_.contains(aTarget.Value()) ? Reachability::Refused
+               : unknown_.contains(aTarget.Value())     ? Reachability::Unknown
+               : unreachable_.contains(aTarget.Value()) ? Reachability::NoListener
                                                         : Reachability::Reachable);
   }
 
@@ -102,6 +103,8 @@
   std::set<std::string> unreachable_;
   /// Targets that do not answer at all.
   std::set<std::string> silent_;
+  /// Targets to which this process can open no connection.
+  std::set<std::string> unknown_;
   /// Names of the targets that were checked, in order.
   std::vector<std::string> checked_;
   /// Targets with an idle connection.
