Read what has arrived before a planned stop closes connections and the listener

Cause: a stopping process closed kept connections on which it had read nothing, also if a request was there to be read, and closed its listener with connections in the queue of the system, which resets them and the requests sent on them. The close of a connection that has been idle for too long did the same. Change: a connection is closed only if nothing waits to be read. Ruled out: losing requests that were read; these were answered before (Drain/PlannedStop). Evidence: CallerServer.KeepsAConnectionWhoseRequestWaits and CallerServer.TakesWhatWaitsToBeAcceptedBeforeItStops failed with the old library, three runs of three (the second one without its line on IsAccepting, which is new).

--- a/src/adapters/caller_connection.cpp
+++ b/src/adapters/caller_connection.cpp
@@ -360,6 +360,13 @@
   }
 }
 
+bool
+CallerConnection::CanBeClosed() const
+{
+  boost::system::error_code ignored;
+  return IsIdle() && socket_.available(ignored) == 0;
+}
+
 void
 CallerConnection::CheckTimeouts()
 {
@@ -367,7 +374,7 @@
   if (state_ == State::Lingering && elapsed > kLingerTime) {
     Close();
   } else if (state_ == State::Reading && IsIdle()) {
-    if (elapsed > server_.limits_.idleTimeout_) {
+    if (elapsed > server_.limits_.idleTimeout_ && CanBeClosed()) {
       Close();
     }
   } else if (state_ == State::Reading) {
--- a/src/adapters/caller_connection.h
+++ b/src/adapters/caller_connection.h
@@ -22,6 +22,8 @@
   void CheckTimeouts();
   /// No request has begun.
   bool IsIdle() const { return state_ == State::Reading && pending_.empty() && !parserHasBytes_; }
+  /// No request has begun, and none has arrived that was not read yet.
+  bool CanBeClosed() const;
   /// Closes at once and lets the handler know if it still works on a request.
   void Close();
   /// Closes without telling the server, which is being destroyed.
--- a/src/adapters/caller_server.cpp
+++ b/src/adapters/caller_server.cpp
@@ -78,7 +78,8 @@
 CallerServer::~CallerServer()
 {
   timers_.Cancel(sweepTimer_);
-  StopAccepting();
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
   for (const auto& connection : connections_) {
     connection->Detach();
   }
@@ -95,13 +96,19 @@
       timers_.After(kAcceptPause, [this] { Accept(); });
       return;
     }
-    auto connection = std::make_shared<CallerConnection>(*this, std::move(aSocket));
-    connections_.insert(connection);
-    connection->Start();
+    Take(std::move(aSocket));
     Accept();
   });
 }
 
+void
+CallerServer::Take(asio::ip::tcp::socket aSocket)
+{
+  auto connection = std::make_shared<CallerConnection>(*this, std::move(aSocket));
+  connections_.insert(connection);
+  connection->Start();
+}
+
 void
 CallerServer::Sweep()
 {
@@ -119,24 +126,33 @@
 {
   const std::vector<std::shared_ptr<CallerConnection>> connections(connections_.begin(), connections_.end());
   for (const auto& connection : connections) {
-    if (connection->IsIdle()) {
+    if (connection->CanBeClosed()) {
       connection->Close();
     }
   }
 }
 
+/// Takes the connections that the system has accepted already; closing would reset them with what was sent there.
 void
 CallerServer::StopAccepting()
 {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  for (int i = 0; i < settings_.backlog_ && !error; i++) {
+    asio::ip::tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      Take(std::move(socket));
+    }
+  }
+  acceptor_.close(error);
 }
 
 bool
 CallerServer::IsBusy() const
 {
   return std::any_of(
-    connections_.begin(), connections_.end(), [](const auto& aConnection) { return !aConnection->IsIdle(); });
+    connections_.begin(), connections_.end(), [](const auto& aConnection) { return !aConnection->CanBeClosed(); });
 }
 
 uint16_t
--- a/src/adapters/caller_server.h
+++ b/src/adapters/caller_server.h
@@ -64,9 +64,11 @@
   void SetLimits(const CallerLimits& aLimits) { limits_ = aLimits; }
   /// From now on every reply closes its connection.
   void BeginDrain() { draining_ = true; }
-  /// Closes connections on which no request has begun.
+  /// Closes connections on which no request has begun or waits to be read.
   void CloseIdle();
+  /// Accepts no connections from now on, but for those that wait to be accepted.
   void StopAccepting();
+  bool IsAccepting() const { return acceptor_.is_open(); }
   size_t ConnectionCount() const { return connections_.size(); }
   /// Whether a request is being read, served or answered.
   bool IsBusy() const;
@@ -77,6 +79,7 @@
 
   CallerServer(boost::asio::io_context& aLoop, TimerService& aTimers, Settings aSettings, Handler aHandler);
   void Accept();
+  void Take(boost::asio::ip::tcp::socket aSocket);
   void Sweep();
 
   boost::asio::io_context& loop_;
--- a/src/entry/drain.cpp
+++ b/src/entry/drain.cpp
@@ -55,15 +55,17 @@
     expired_ = true;
     router_.ExpireAll();
   }
+  // What was accepted last has until the next check to send its request.
+  const bool isDone = IsDone(elapsed);
   if (elapsed >= kRotationDelay) {
     server_.CloseIdle();
     // A load balancer without another instance goes on sending connections. Once all accepted requests have ended, the
     // connections that would only be refused must not delay the exit.
-    if (router_.IsRefusingNewRequests() && router_.RunCount() == 0) {
+    if (!server_.IsBusy() || (router_.IsRefusingNewRequests() && router_.RunCount() == 0)) {
       server_.StopAccepting();
     }
   }
-  if (IsDone(elapsed)) {
+  if (isDone) {
     onDone_();
     return;
   }
@@ -73,7 +75,7 @@
 bool
 Drain::IsDone(Micros aElapsed) const
 {
-  return (aElapsed >= kRotationDelay && !server_.IsBusy()) || aElapsed >= stopTime_ - kExpiryMargin / 4;
+  return (!server_.IsAccepting() && !server_.IsBusy()) || aElapsed >= stopTime_ - kExpiryMargin / 4;
 }
 
 } // namespace ibisrock::entry
--- a/tests/caller_server_test.cpp
+++ b/tests/caller_server_test.cpp
@@ -54,6 +54,13 @@
     return reply;
   }
 
+  size_t RequestCount()
+  {
+    size_t count = 0;
+    OnLoop([&] { count = requests_.size(); });
+    return count;
+  }
+
   /// Runs aWork on the loop's thread and waits for it.
   template<typename Work>
   void OnLoop(Work aWork)
@@ -192,5 +199,43 @@
   EXPECT_NE(reply.find("done"), std::string::npos) << reply;
 }
 
+/// Guards against a planned stop that resets a connection whose request has arrived and was not read yet.
+TEST(CallerServer, KeepsAConnectionWhoseRequestWaits)
+{
+  ServerFixture fixture;
+  const RawConnection kept(fixture.Port());
+  ASSERT_TRUE(kept.Send("GET /first HTTP/1.1\r\nHost: h\r\nConnection: keep-alive\r\n\r\n"));
+  while (fixture.RequestCount() == 0) {
+    std::this_thread::yield();
+  }
+  fixture.OnLoop([&] {
+    fixture.server_->BeginDrain();
+    EXPECT_TRUE(kept.Send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n"));
+    EXPECT_TRUE(fixture.server_->IsBusy());
+    fixture.server_->CloseIdle();
+  });
+  EXPECT_NE(kept.ReadAll().find("/second"), std::string::npos);
+}
+
+/// Guards against a planned stop that resets connections which the system has accepted, with their requests.
+TEST(CallerServer, TakesWhatWaitsToBeAcceptedBeforeItStops)
+{
+  ServerFixture fixture;
+  std::vector<std::unique_ptr<RawConnection>> waiting;
+  fixture.OnLoop([&] {
+    fixture.server_->BeginDrain();
+    for (int i = 0; i < 5; i++) {
+      waiting.push_back(std::make_unique<RawConnection>(fixture.Port()));
+      EXPECT_TRUE(waiting.back()->Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"));
+    }
+    fixture.server_->StopAccepting();
+    EXPECT_FALSE(fixture.server_->IsAccepting());
+    EXPECT_TRUE(fixture.server_->IsBusy());
+  });
+  for (const auto& connection : waiting) {
+    EXPECT_NE(connection->ReadAll().find("/x"), std::string::npos);
+  }
+}
+
 } // namespace
 } // namespace ibisrock::adapters
