--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -80,6 +80,38 @@
                   LeftAloneCase{ "OtherInstance", "t=8.50 instance=2 fault=0\n", Millis(8000), true }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+struct PlannedStopCase
+{
+  const char* name_;
+  const char* lines_;
+  bool isInPlannedStop_;
+};
+
+class PlannedStopOfTheSoak : public testing::TestWithParam<PlannedStopCase>
+{};
+
+/// Guards against lost requests that no stop excuses, and against a stop amid other faults that is taken for a planned
+/// one. The stop must be after 5 s, with 4 s of quiet before it.
+TEST_P(PlannedStopOfTheSoak, NeedsQuietBeforeIt)
+{
+  std::istringstream lines(GetParam().lines_);
+  EXPECT_EQ(IsInPlannedStop(lines, 1, Seconds(5), Seconds(4)), GetParam().isInPlannedStop_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Soak,
+  PlannedStopOfTheSoak,
+  testing::Values(PlannedStopCase{ "Alone", "t=7.0 instance=1 fault=4\n", true },
+                  PlannedStopCase{ "JustStartedAgain", "t=7.0 instance=1 fault=4\nt=9.9 instance=1 started\n", true },
+                  PlannedStopCase{ "LongAgo", "t=4.9 instance=1 fault=4\n", false },
+                  PlannedStopCase{ "SoonAfterAnother", "t=3.1 instance=1 resumed\nt=7.0 instance=1 fault=4\n", false },
+                  PlannedStopCase{ "LongAfterAnother", "t=2.9 instance=1 resumed\nt=7.0 instance=1 fault=4\n", true },
+                  PlannedStopCase{ "SoonAfterReload", "t=6.0 instance=1 fault=3\nt=7.0 instance=1 fault=4\n", true },
+                  PlannedStopCase{ "KilledMeanwhile", "t=7.0 instance=1 fault=4\nt=8.0 instance=1 fault=0\n", false },
+                  PlannedStopCase{ "StopInAStorm", "t=7.0 instance=1 fault=1\n", false },
+                  PlannedStopCase{ "OtherInstance", "t=7.0 instance=2 fault=4\n", false }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 struct UnresponsiveCase
 {
   const char* name_;
--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -8,7 +8,7 @@
 const PoolName kPool("pool");
 const TargetName kTarget("t");
 
-/// A checker on a manual clock, long after the start. Instance 1 is never left alone.
+/// A checker on a manual clock, long after the start. Instance 1 is never left alone, and instance 2 stops as planned.
 class CheckerFixture
 {
 public:
@@ -20,7 +20,10 @@
   std::string Id() const { return "r" + std::to_string(number_); }
 
   ManualTimerService timers_;
-  RuleChecker checker_{ timers_, {}, [](size_t aInstance, Micros) { return aInstance != 1; } };
+  RuleChecker checker_{ timers_,
+                        {},
+                        [](size_t aInstance, Micros) { return aInstance != 1; },
+                        [](size_t aInstance, Micros) { return aInstance == 2; } };
   size_t number_ = 0;
 };
 
@@ -84,6 +87,18 @@
   }
 }
 
+/// A request to an instance ends without an answer.
+void
+Lose(CheckerFixture& aFixture, size_t aInstance, bool aArrives, Micros aSince)
+{
+  aFixture.Send(aInstance);
+  if (aArrives) {
+    aFixture.Arrive();
+  }
+  aFixture.timers_.Advance(aSince);
+  aFixture.checker_.OnLost(aFixture.Id(), aInstance, aSince);
+}
+
 class CheckedRule : public testing::TestWithParam<CheckedCase>
 {};
 
@@ -192,7 +207,45 @@
                  1 },
     CheckedCase{ "ConfigAtDisturbedInstance",
                  [](CheckerFixture& aFixture) { aFixture.checker_.OnStaleRoute(1, "route", Millis(3100)); },
-                 0 }),
+                 0 },
+    CheckedCase{ "ConfigSoonAfterACut",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnInstanceCutOff(0, Seconds(1));
+                   aFixture.timers_.Advance(Millis(4900));
+                   aFixture.checker_.OnStaleRoute(0, "route", Millis(3100));
+                 },
+                 0 },
+    CheckedCase{ "ConfigLongAfterACut",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnInstanceCutOff(0, Seconds(1));
+                   aFixture.timers_.Advance(Millis(5100));
+                   aFixture.checker_.OnStaleRoute(0, "route", Millis(3100));
+                 },
+                 1 },
+    CheckedCase{ "ConfigWhileAnotherIsCutOff",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnInstanceCutOff(2, Seconds(10));
+                   aFixture.checker_.OnStaleRoute(0, "route", Millis(3100));
+                 },
+                 1 },
+    CheckedCase{ "LostAtATarget", [](CheckerFixture& aFixture) { Lose(aFixture, 2, true, Millis(10)); }, 1 },
+    CheckedCase{ "LostAfterItWasTaken", [](CheckerFixture& aFixture) { Lose(aFixture, 2, false, Millis(210)); }, 1 },
+    CheckedCase{ "CrossesTheClose", [](CheckerFixture& aFixture) { Lose(aFixture, 2, false, Millis(190)); }, 0 },
+    CheckedCase{ "LostOutsideOfAStop", [](CheckerFixture& aFixture) { Lose(aFixture, 0, true, Millis(210)); }, 0 },
+    CheckedCase{ "LostSoonAfterTargetsWereDisturbed",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnTargetsDisturbed(Seconds(1));
+                   aFixture.timers_.Advance(Millis(4900));
+                   Lose(aFixture, 2, true, Millis(210));
+                 },
+                 0 },
+    CheckedCase{ "LostLongAfterTargetsWereDisturbed",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnTargetsDisturbed(Seconds(1));
+                   aFixture.timers_.Advance(Millis(5100));
+                   Lose(aFixture, 2, true, Millis(210));
+                 },
+                 1 }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
 } // namespace
