--- a/src/adapters/caller_server.h
+++ b/src/adapters/caller_server.h
@@ -70,7 +70,7 @@
   void StopAccepting();
   bool IsAccepting() const { return acceptor_.is_open(); }
   size_t ConnectionCount() const { return connections_.size(); }
-  /// Whether a request is being read, served or answered.
+  /// Whether a request waits to be read, or is being read, served or answered.
   bool IsBusy() const;
   uint16_t Port() const;
 
