Take no reply whose status HTTP does not have

Callers saw: a target in trouble sent an answer with status 000, and the client got it as an answer; in gathered queries it was left out. The same with 001, 099, 600 and 999. After 101 the next bytes passed for the answer.

Cause: nobody asked for the status. The parser takes any three digits, HttpTargetLink takes each complete reply as a run, and TargetOutcome holds 0 for "no status".

Fix: FaultOfHead, the one place that says whether a reply is an answer that HTTP allows. LoopHttpConnection asks it when the head is complete, before any field is believed; the exchange fails, the request may have run, and the connection is closed. The store and relays are read by the same class: there 001, 099, 600, 999 and 101 passed too; 000 was refused.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr uint32_t kLargestHeader = 64 << 10;
-
 LoopHttpConnection::ConnectResult
 ResultOf(const boost::system::error_code& aError)
 {
@@ -219,8 +218,12 @@
   }
   while (!aBytes.empty() && open_ && onReply_) {
     boost::system::error_code error;
+    const bool wasInHead = !parser_->is_header_done();
     const size_t taken = parser_->put(asio::buffer(aBytes.data(), aBytes.size()), error);
     aBytes.remove_prefix(taken);
+    if (wasInHead && (!error || error == http::error::need_more) && parser_->is_header_done() && !CheckHead()) {
+      return;
+    }
     if (error == http::error::need_more) {
       pending_ = aBytes;
       return;
@@ -238,6 +241,16 @@
   }
 }
 
+bool
+LoopHttpConnection::CheckHead()
+{
+  if (const std::string_view fault = FaultOfHead(*parser_); !fault.empty()) {
+    Fail(std::string(fault));
+    return false;
+  }
+  return true;
+}
+
 /// A socket reports a reset once, and if a write takes it, the next read sees an end of file. The handler of that write
 /// may still be queued, so the end is judged behind it.
 void
@@ -276,7 +289,7 @@
 void
 LoopHttpConnection::OnParsed()
 {
-  if (parser_->get().result_int() / 100 == 1) {
+  if (IsInterim(parser_->get().result_int())) {
     std::string rest = std::move(pending_);
     pending_.clear();
     NewParser();
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -1,6 +1,7 @@
 #ifndef IBISROCK_ADAPTERS_LOOP_HTTP_CONNECTION_H
 #define IBISROCK_ADAPTERS_LOOP_HTTP_CONNECTION_H
 
+#include "adapters/reply_head.h"
 #include "adapters/socket_address.h"
 #include "base/http_message.h"
 #include "base/last_reason.h"
@@ -8,8 +9,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -86,13 +85,13 @@
   std::optional<Micros> KeepAliveTime() const { return keepAliveTime_; }
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void ReadSome();
   void OnRead(const boost::system::error_code& aError, size_t aCount);
   void ReadRest();
   void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
+  /// Checks the head of a reply. Returns false after it has ended the exchange.
+  bool CheckHead();
   void OnEndOfStream(const boost::system::error_code& aError);
   void JudgeEndOfStream(const boost::system::error_code& aError);
   void OnParsed();
@@ -115,7 +114,7 @@
   bool hasEnded_ = false;
   bool expectsNoBody_ = false;
   RequestText request_;
-  std::optional<Parser> parser_;
+  std::optional<ReplyParser> parser_;
   /// Holds a part of a gathered answer with its header, which is the usual reply.
   std::array<char, 2048> readBuffer_{};
   /// Bytes that the parser has not taken yet, because a header is incomplete.
--- /dev/null
+++ b/tests/broken_answer_test.cpp
@@ -0,0 +1,52 @@
+#include "broken_answers.h"
+#include "scripted_target.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisrock::adapters {
+namespace {
+
+/// A target that says this is believed only if its answer is sound.
+const std::string kNotices = "Ibisrock-Leaving: 1\r\nRetry-After: 5\r\n";
+const std::string kOwn = "Ibisrock-Request-Id: r1\r\nIbisrock-Stamp: s\r\n";
+const BrokenAnswers kAnswers(kOwn + kNotices, "body");
+
+constexpr auto kCaseName = [](const auto& aInfo) { return aInfo.param.name_; };
+
+class AnswerOfATarget : public testing::TestWithParam<BrokenAnswer>
+{};
+
+/// Guards against an answer that HTTP does not allow and that a client gets as one: the call ends at once and may have
+/// run, nothing in the answer is believed, and its connection is not used again.
+TEST_P(AnswerOfATarget, IsNoAnswerIfBroken)
+{
+  asio::io_context loop{ 1 };
+  LoopTimerService timers(loop);
+  HttpTargetLink link(loop, timers, HeaderNames());
+  ScriptedTarget target(loop, { { GetParam().text_, GetParam().closes_ } });
+  size_t notices = 0;
+  link.SetOnNotice([&](const TargetCall&, const TargetNotice&) { notices++; });
+  auto request = std::make_shared<CallerRequest>();
+  request->method_ = "GET";
+  request->target_ = "/a";
+  request->host_ = "h";
+  request->id_ = "r1";
+  std::optional<TargetOutcome> outcome;
+  link.Send({ TargetName("t"), TargetAddress(target.Address()), request, Seconds(20) },
+            [&](TargetOutcome aOutcome) { outcome = std::move(aOutcome); });
+  const TimePoint end = timers.Now() + Seconds(5);
+  while (!outcome && timers.Now() < end) {
+    loop.run_one_for(std::chrono::milliseconds(10));
+  }
+  ASSERT_TRUE(outcome) << "the call hangs";
+  EXPECT_EQ(outcome->verdict_, Verdict::MayHaveRun);
+  EXPECT_EQ(outcome->status_, 0U);
+  EXPECT_EQ(outcome->body_ ? *outcome->body_ : "", "");
+  EXPECT_EQ(notices, 0U);
+  EXPECT_FALSE(link.HasIdleConnection(TargetName("t")));
+}
+
+INSTANTIATE_TEST_SUITE_P(Http, AnswerOfATarget, testing::ValuesIn(kAnswers.All()), kCaseName);
+
+} // namespace
+} // namespace ibisrock::adapters
