Refuse a stated length above the limit before the body is read

Callers saw (with the program): an answer with a length of 4,000,000,000,000 made them wait their whole time, sound requests behind it were refused, and after eleven such answers the process ended with std::bad_alloc.

Cause: the parser was eager. In this mode it compares the stated length with the limit only when bytes of the body come, after it has reserved the memory for the whole body. The exception left the read handler, so that the call stayed half done.

Fix: the parser stops behind the head. There it refuses a length above the limit before it reserves anything. A reply to HEAD may state any length.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -132,7 +132,9 @@
 LoopHttpConnection::NewParser()
 {
   parser_.emplace();
-  parser_->eager(true);
+  // The parser stops behind the head, so that the head is checked first. Otherwise it would also reserve the memory for
+  // a body of any length before it compares the length with the limit.
+  parser_->eager(false);
   parser_->body_limit(maxReply_);
   parser_->header_limit(kLargestHeader);
   parser_->skip(expectsNoBody_);
@@ -221,7 +223,7 @@
     const bool wasInHead = !parser_->is_header_done();
     const size_t taken = parser_->put(asio::buffer(aBytes.data(), aBytes.size()), error);
     aBytes.remove_prefix(taken);
-    if (wasInHead && (!error || error == http::error::need_more) && parser_->is_header_done() && !CheckHead()) {
+    if (wasInHead && !error && parser_->is_header_done() && !CheckHead()) {
       return;
     }
     if (error == http::error::need_more) {
@@ -248,6 +250,7 @@
     Fail(std::string(fault));
     return false;
   }
+  parser_->eager(true);
   return true;
 }
 
--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -198,7 +198,8 @@
            { "StatusSixHundred", kAnswers.WithStatus("600") },
            { "ControlByteInName",
              kAnswers.WithFields("X-B\x01"
-                                 "d: 1\r\n") } };
+                                 "d: 1\r\n") },
+           { "LengthAboveTheMemory", kAnswers.Framed("Content-Length: 4000000000000\r\n", kRecord) } };
 }
 
 INSTANTIATE_TEST_SUITE_P(EntryProgram, EntryBeside, testing::ValuesIn(ChosenAnswers()), [](const auto& aInfo) {
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -48,5 +48,21 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, AnswerOfATarget, testing::ValuesIn(kAnswers.All()), kCaseName);
 
+INSTANTIATE_TEST_SUITE_P(Limit,
+                         AnswerOfATarget,
+                         testing::Values(BrokenAnswer{ "LengthAboveTheLimit",
+                                                       kAnswers.Framed("Content-Length: 600000\r\n", "body") }),
+                         kCaseName);
+
+/// Guards against an answer to HEAD that is refused because of the length of the body that it does not have.
+TEST(SoundAnswer, ToHeadStatesALengthAboveTheLimit)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(fixture.loop_, { { kAnswers.Framed("Content-Length: 4000000000000\r\n", "") } });
+  const TargetOutcome outcome = fixture.Call(target.Address(), "r1", "HEAD");
+  EXPECT_EQ(outcome.verdict_, Verdict::Ran);
+  EXPECT_EQ(outcome.status_, 200U);
+}
+
 } // namespace
 } // namespace ibisrock::adapters
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -97,10 +97,28 @@
              { "BlankInNameOfATrailer", Chunked(chunked, "X Bad: 1\r\n") } };
   }
 
+  /// Lengths that no answer has. A length is stated before a byte of the body has come.
+  std::vector<BrokenAnswer> Lengths() const
+  {
+    const std::string name = "Content-Length:";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    return { { "LengthAboveTheMemory", Framed(name + " 4000000000000\r\n", body_) },
+             { "LengthGreatestNumber", Framed(name + " 18446744073709551615\r\n", body_) },
+             { "LengthAboveAnyNumber", Framed(name + " 99999999999999999999\r\n", body_) },
+             { "LengthNegative", Framed(name + " -4\r\n", body_) },
+             { "LengthSigned", Framed(name + " +4\r\n", body_) },
+             { "LengthHexadecimal", Framed(name + " 0x4\r\n", body_) },
+             { "LengthEmpty", Framed(name + "\r\n", body_) },
+             { "LengthsThatDiffer", Framed(Length() + name + " 9999\r\n", body_) },
+             { "LengthIsAList", Framed(name + " 4, 5\r\n", body_) },
+             { "ChunkAboveTheMemory", Framed(chunked, "3a352944000\r\n" + body_) },
+             { "ChunkAboveAnyNumber", Framed(chunked, "fffffffffffffffff\r\n" + body_) } };
+  }
+
   std::vector<BrokenAnswer> All() const
   {
     std::vector<BrokenAnswer> all;
-    for (const auto& kind : { Statuses(), Names() }) {
+    for (const auto& kind : { Statuses(), Names(), Lengths() }) {
       all.insert(all.end(), kind.begin(), kind.end());
     }
     return all;
