Take no reply in whose head a line begins with a blank

Callers saw: the line " X-Bad: 1" behind Server-Stamp was passed on as a part of the stamp, and a gathered answer listed that stamp. A Content-Length in such a line was lost, and the body taken up to the close.

Cause: the parser joins a line that begins with a blank to the value before it, an old form that HTTP/1.1 forbids, and does not say so.

Fix: the lines of a head are checked as the parser takes them, also when the head comes in pieces.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -222,8 +222,9 @@
     boost::system::error_code error;
     const bool wasInHead = !parser_->is_header_done();
     const size_t taken = parser_->put(asio::buffer(aBytes.data(), aBytes.size()), error);
+    const std::string_view lines = aBytes.substr(0, taken);
     aBytes.remove_prefix(taken);
-    if (wasInHead && !error && parser_->is_header_done() && !CheckHead()) {
+    if (wasInHead && (!error || error == http::error::need_more) && !CheckHead(lines)) {
       return;
     }
     if (error == http::error::need_more) {
@@ -244,13 +245,15 @@
 }
 
 bool
-LoopHttpConnection::CheckHead()
+LoopHttpConnection::CheckHead(std::string_view aLines)
 {
-  if (const std::string_view fault = FaultOfHead(*parser_); !fault.empty()) {
+  if (const std::string_view fault = FaultOfHead(*parser_, aLines); !fault.empty()) {
     Fail(std::string(fault));
     return false;
   }
-  parser_->eager(true);
+  if (parser_->is_header_done()) {
+    parser_->eager(true);
+  }
   return true;
 }
 
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -90,8 +90,8 @@
   void ReadRest();
   void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
-  /// Checks the head of a reply. Returns false after it has ended the exchange.
-  bool CheckHead();
+  /// Checks lines that the parser has taken of a head. Returns false after it has ended the exchange.
+  bool CheckHead(std::string_view aLines);
   void OnEndOfStream(const boost::system::error_code& aError);
   void JudgeEndOfStream(const boost::system::error_code& aError);
   void OnParsed();
--- a/src/adapters/reply_head.h
+++ b/src/adapters/reply_head.h
@@ -9,10 +9,10 @@
 
 using ReplyParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-/// Returns why a reply is no answer although its parser has taken its head, or an empty text. Nothing in such a reply
-/// is to be believed.
+/// Returns why a reply is no answer although its parser has taken aLines of its head, or an empty text. The lines are
+/// whole ones. Nothing in such a reply is to be believed.
 std::string_view
-FaultOfHead(const ReplyParser& aParser);
+FaultOfHead(const ReplyParser& aParser, std::string_view aLines);
 
 /// Whether another reply to the same request follows one with this status.
 bool
--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -199,6 +199,7 @@
            { "ControlByteInName",
              kAnswers.WithFields("X-B\x01"
                                  "d: 1\r\n") },
+           { "FoldedLine", kAnswers.Framed(" X-Bad: 1\r\n" + length, kRecord) },
            { "LengthAboveTheMemory", kAnswers.Framed("Content-Length: 4000000000000\r\n", kRecord) } };
 }
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -54,6 +54,37 @@
                                                        kAnswers.Framed("Content-Length: 600000\r\n", "body") }),
                          kCaseName);
 
+/// Guards against a line that begins with a blank and is overlooked because the head comes in two pieces, of which the
+/// parser has taken the lines of the first.
+TEST(AnswerInPieces, IsNoAnswerIfBroken)
+{
+  const std::string text = kAnswers.Framed(" X-Bad: 1\r\nContent-Length: 4\r\n", "body");
+  asio::io_context loop{ 1 };
+  asio::ip::tcp::acceptor acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 });
+  for (size_t split = 1; split < text.size(); split++) {
+    loop.restart();
+    asio::ip::tcp::socket server(loop);
+    acceptor.async_accept(server, [](const boost::system::error_code&) {});
+    std::optional<bool> hasReply;
+    const auto connection = LoopHttpConnection::Create(loop);
+    connection->Connect({ "127.0.0.1", acceptor.local_endpoint().port() }, [&](LoopHttpConnection::ConnectResult) {
+      connection->Exchange(
+        { "GET / HTTP/1.1\r\nHost: h\r\n\r\n", nullptr, false },
+        nullptr,
+        [&](const std::optional<ServerReply>& aReply, const LastReason&) { hasReply = aReply.has_value(); });
+    });
+    loop.run_for(std::chrono::milliseconds(2));
+    boost::system::error_code ignored;
+    asio::write(server, asio::buffer(text.substr(0, split)), ignored);
+    loop.run_for(std::chrono::milliseconds(2));
+    asio::write(server, asio::buffer(text.substr(split)), ignored);
+    for (int i = 0; i < 500 && !hasReply; i++) {
+      loop.run_one_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(hasReply, false) << split;
+  }
+}
+
 /// Guards against an answer to HEAD that is refused because of the length of the body that it does not have.
 TEST(SoundAnswer, ToHeadStatesALengthAboveTheLimit)
 {
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -97,6 +97,17 @@
              { "BlankInNameOfATrailer", Chunked(chunked, "X Bad: 1\r\n") } };
   }
 
+  /// Lines that a parser joins to the value before them.
+  std::vector<BrokenAnswer> Folds() const
+  {
+    return { { "FoldedLine", Framed(" X-Bad: 1\r\n" + Length(), body_) },
+             { "FoldedLineWithTab", WithFields("\tX-Bad: 1\r\n") },
+             { "FoldedFirstLine", "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + fields_ + Length() + "\r\n" + body_ },
+             { "FoldedLastLine", Framed(Length() + " X-Bad: 1\r\n", body_) },
+             { "FoldedLength", Framed(" " + Length(), body_), true },
+             { "FoldedLineOfBlanks", WithFields("  \r\n") } };
+  }
+
   /// Lengths that no answer has. A length is stated before a byte of the body has come.
   std::vector<BrokenAnswer> Lengths() const
   {
@@ -118,7 +129,7 @@
   std::vector<BrokenAnswer> All() const
   {
     std::vector<BrokenAnswer> all;
-    for (const auto& kind : { Statuses(), Names(), Lengths() }) {
+    for (const auto& kind : { Statuses(), Names(), Folds(), Lengths() }) {
       all.insert(all.end(), kind.begin(), kind.end());
     }
     return all;
