Take no reply in an unknown transfer coding

Callers saw: a body in the codings gzip, xchunked, or gzip in chunks was passed on as if it were plain. After "chunked, chunked" they waited their whole time.

Cause: the parser knows chunks only. It leaves other codings to its user, and nobody asked for them.

Fix: a Transfer-Encoding other than exactly chunked, in one field and in HTTP/1.1, is a fault of the head.

--- a/src/adapters/reply_head.cpp
+++ b/src/adapters/reply_head.cpp
@@ -4,10 +4,13 @@
 
 namespace {
 
+namespace http = boost::beast::http;
+
 constexpr unsigned kLowestStatus = 100;
 constexpr unsigned kLowestFinalStatus = 200;
 constexpr unsigned kHighestStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kHttp10 = 10;
 
 /// Whether a line begins with a blank. The parser joins it to the line before: the name in it is lost, and the value
 /// before it changed.
@@ -24,6 +27,20 @@
   return false;
 }
 
+/// Whether the body comes in another coding than chunks. The parser leaves all others to its user, and takes the body
+/// up to the close.
+bool
+HasUnknownCoding(const ReplyParser& aParser)
+{
+  const auto& head = aParser.get();
+  const size_t count = head.count(http::field::transfer_encoding);
+  if (count == 0) {
+    return false;
+  }
+  return count > 1 || head.version() <= kHttp10 ||
+         !boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
 } // namespace
 
 std::string_view
@@ -42,6 +59,9 @@
   if (status == kSwitchingProtocols) {
     return "nothing asked for another protocol";
   }
+  if (HasUnknownCoding(aParser)) {
+    return "the transfer coding is unknown";
+  }
   return {};
 }
 
--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -200,6 +200,8 @@
              kAnswers.WithFields("X-B\x01"
                                  "d: 1\r\n") },
            { "FoldedLine", kAnswers.Framed(" X-Bad: 1\r\n" + length, kRecord) },
+           { "CodingGzip", kAnswers.Framed("Transfer-Encoding: gzip\r\n", kRecord), true },
+           { "CodingChunkedTwice", kAnswers.Chunked("Transfer-Encoding: chunked, chunked\r\n") },
            { "LengthAboveTheMemory", kAnswers.Framed("Content-Length: 4000000000000\r\n", kRecord) } };
 }
 
--- a/tests/broken_answers.h
+++ b/tests/broken_answers.h
@@ -108,6 +108,19 @@
              { "FoldedLineOfBlanks", WithFields("  \r\n") } };
   }
 
+  std::vector<BrokenAnswer> Codings() const
+  {
+    const std::string name = "Transfer-Encoding:";
+    return { { "CodingGzip", Framed(name + " gzip\r\n", body_), true },
+             { "CodingUnknown", Framed(name + " xchunked\r\n", body_), true },
+             { "CodingEmpty", Framed(name + "\r\n", body_), true },
+             { "CodingGzipThenChunked", Chunked(name + " gzip, chunked\r\n") },
+             { "CodingChunkedTwice", Chunked(name + " chunked, chunked\r\n") },
+             { "CodingInTwoFields", Chunked(name + " gzip\r\n" + name + " chunked\r\n") },
+             { "CodingInOldVersion", "HTTP/1.0 200 OK\r\n" + fields_ + name + " chunked\r\n\r\n" + chunks_ + "\r\n" },
+             { "CodingWithLength", Chunked(name + " chunked\r\n" + Length()) } };
+  }
+
   /// Lengths that no answer has. A length is stated before a byte of the body has come.
   std::vector<BrokenAnswer> Lengths() const
   {
@@ -129,7 +142,7 @@
   std::vector<BrokenAnswer> All() const
   {
     std::vector<BrokenAnswer> all;
-    for (const auto& kind : { Statuses(), Names(), Folds(), Lengths() }) {
+    for (const auto& kind : { Statuses(), Names(), Folds(), Codings(), Lengths() }) {
       all.insert(all.end(), kind.begin(), kind.end());
     }
     return all;
