Let an exception while a reply is read end its exchange only

Cause: an exception that leaves the read handler ends the work of the event loop. RunLoop passes over ten of them, then the process ends, and with it the requests of others. The exchange stayed half done, and nothing read from its connection any more.

Fix: an exception of reading a reply, such as a lack of memory, ends the exchange and its connection. One that the owner's callback throws closes the connection and goes on to RunLoop as before.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -113,6 +113,7 @@
   belongs_ = std::move(aBelongs);
   onReply_ = std::move(aOnReply);
   expectsNoBody_ = request_.expectsNoBody_;
+  exchange_++;
   sent_ = true;
   received_ = 0;
   reusable_ = false;
@@ -153,10 +154,27 @@
                           });
 }
 
+/// An exception that a reply causes, for example for lack of memory, ends its exchange only. One of the owner's
+/// callback is passed on.
 void
 LoopHttpConnection::OnRead(const boost::system::error_code& aError, size_t aCount)
 {
   auto self = shared_from_this();
+  const uint64_t exchange = exchange_;
+  try {
+    OnBytesOrEnd(aError, aCount);
+  } catch (const std::exception& error) {
+    const bool isOfReply = onReply_ && exchange_ == exchange;
+    Fail(error.what());
+    if (!isOfReply) {
+      throw;
+    }
+  }
+}
+
+void
+LoopHttpConnection::OnBytesOrEnd(const boost::system::error_code& aError, size_t aCount)
+{
   if (!aError) {
     Take({ readBuffer_.data(), aCount });
     if (open_ && aCount == readBuffer_.size()) {
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -87,6 +87,7 @@
 private:
   void ReadSome();
   void OnRead(const boost::system::error_code& aError, size_t aCount);
+  void OnBytesOrEnd(const boost::system::error_code& aError, size_t aCount);
   void ReadRest();
   void Take(std::string_view aBytes);
   void Consume(std::string_view aBytes);
@@ -114,6 +115,8 @@
   bool hasEnded_ = false;
   bool expectsNoBody_ = false;
   RequestText request_;
+  /// Number of the exchange, by which an exception is told from one of a later exchange.
+  uint64_t exchange_ = 0;
   std::optional<ReplyParser> parser_;
   /// Holds a part of a gathered answer with its header, which is the usual reply.
   std::array<char, 2048> readBuffer_{};
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -95,5 +95,27 @@
   EXPECT_EQ(outcome.status_, 200U);
 }
 
+/// Guards against an exception while a reply is read, for example for lack of memory, that ends the work of others: it
+/// ends the exchange and its connection only.
+TEST(LoopHttpConnection, ExceptionWhileReadingEndsTheExchangeOnly)
+{
+  asio::io_context loop{ 1 };
+  ScriptedTarget target(loop, { { kAnswers.WithStatus("200") } });
+  LastReason ignored;
+  const auto connection = LoopHttpConnection::Create(loop);
+  std::optional<bool> hasReply;
+  connection->Connect(*ParseSocketAddress(target.Address(), ignored), [&](LoopHttpConnection::ConnectResult) {
+    connection->Exchange(
+      { "GET / HTTP/1.1\r\nHost: h\r\n\r\n", nullptr, false },
+      [](const ServerReply&) -> bool { throw std::bad_alloc(); },
+      [&](const std::optional<ServerReply>& aReply, const LastReason&) { hasReply = aReply.has_value(); });
+  });
+  for (int i = 0; i < 500 && !hasReply; i++) {
+    EXPECT_NO_THROW(loop.run_one_for(std::chrono::milliseconds(10)));
+  }
+  EXPECT_EQ(hasReply, false);
+  EXPECT_FALSE(connection->IsOpen());
+}
+
 } // namespace
 } // namespace ibisrock::adapters
