Take no reply that states its id or proof twice

Callers saw: an answer with a second Request-Id or Server-Stamp was passed on with both, and a gathered answer took the first stamp. Of two statements that the request did not run, or that the target leaves, one was believed. A coded body passed if an empty Content-Encoding came first.

Cause: the first field of a name was taken, whatever followed.

Fix: which of two values holds cannot be known, so that a reply with two of these fields is no answer, and nothing in it is believed. Any Content-Encoding that is not empty counts. A repeated Retry-After still gives the first value, as its test says.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http_target_link.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace ibisrock::adapters {
@@ -52,6 +53,14 @@
   return Micros(static_cast<Micros::rep>(1e6 * std::min(seconds, kMaxSeconds)));
 }
 
+bool
+IsEncoded(const ServerReply& aReply)
+{
+  return std::any_of(aReply.fields_.begin(), aReply.fields_.end(), [](const HeaderField& aField) {
+    return IsSameName(aField.name_, "Content-Encoding") && !aField.value_.empty();
+  });
+}
+
 TargetOutcome
 MakeFailure(Verdict aVerdict, Reason aReason)
 {
@@ -186,6 +195,9 @@
 {
   aCall.sent_ = true;
   auto belongs = [this, aId](const ServerReply& aReply) {
+    if (HasRepeatedField(aReply)) {
+      return true;
+    }
     const TargetCall& call = calls_.at(aId).call_;
     TakeNotice(call, aReply);
     const std::string_view echoed = aReply.Field(names_.requestId_);
@@ -233,6 +245,11 @@
     End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
     return;
   }
+  if (HasRepeatedField(*aReply)) {
+    call.connection_->Close();
+    End(aId, MakeFailure(Verdict::MayHaveRun, Reason::TargetError));
+    return;
+  }
   if (IsIdMissing(call.call_.target_, *aReply)) {
     call.connection_->Close();
     End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
@@ -259,6 +276,15 @@
   }
 }
 
+/// Whether a field that decides what the reply means occurs more than once: which value holds cannot be known.
+bool
+HttpTargetLink::HasRepeatedField(const ServerReply& aReply) const
+{
+  const std::array decisive{ &names_.requestId_, &names_.stamp_, &names_.notRun_, &names_.leaving_ };
+  return std::any_of(
+    decisive.begin(), decisive.end(), [&aReply](const std::string* aName) { return aReply.Count(*aName) > 1; });
+}
+
 /// Whether a success lacks the id although the target echoes ids. It may be a late copy of an earlier answer. A refusal
 /// may come before the target has read the id.
 bool
@@ -281,7 +307,7 @@
   if (!aReply.Field(names_.notRun_).empty()) {
     return MakeFailure(Verdict::NotRun, Reason::Overloaded);
   }
-  if (!aReply.Field("Content-Encoding").empty()) {
+  if (IsEncoded(aReply)) {
     return MakeFailure(Verdict::MayHaveRun, Reason::TargetError);
   }
   TargetOutcome outcome;
--- a/src/adapters/http_target_link.h
+++ b/src/adapters/http_target_link.h
@@ -63,6 +63,7 @@
   void Write(CallId aId, Call& aCall);
   void OnReply(CallId aId, std::optional<ServerReply> aReply);
   void TakeNotice(const TargetCall& aCall, const ServerReply& aReply) const;
+  bool HasRepeatedField(const ServerReply& aReply) const;
   bool IsIdMissing(const TargetName& aTarget, const ServerReply& aReply);
   void End(CallId aId, TargetOutcome aOutcome);
   RequestText MakeRequest(const Call& aCall) const;
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -3,6 +3,7 @@
 #include "adapters/header_names.h"
 #include "adapters/read_buffer.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -64,6 +65,13 @@
   return {};
 }
 
+size_t
+ServerReply::Count(std::string_view aName) const
+{
+  return static_cast<size_t>(std::count_if(
+    fields_.begin(), fields_.end(), [aName](const HeaderField& aField) { return IsSameName(aField.name_, aName); }));
+}
+
 std::shared_ptr<LoopHttpConnection>
 LoopHttpConnection::Create(asio::io_context& aLoop, size_t aMaxReply)
 {
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -26,6 +26,8 @@
 
   /// Value of a field, or an empty text.
   std::string_view Field(std::string_view aName) const;
+  /// How often a field occurs.
+  size_t Count(std::string_view aName) const;
 };
 
 /// Text of a request. The head ends with an empty line.
--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -202,6 +202,8 @@
            { "FoldedLine", kAnswers.Framed(" X-Bad: 1\r\n" + length, kRecord) },
            { "CodingGzip", kAnswers.Framed("Transfer-Encoding: gzip\r\n", kRecord), true },
            { "CodingChunkedTwice", kAnswers.Chunked("Transfer-Encoding: chunked, chunked\r\n") },
+           { "OtherIdToo", kAnswers.WithFields("Request-Id: 1111111111111111\r\n") },
+           { "OtherStampToo", kAnswers.WithFields("Server-Stamp: 77c0.09.5a3.640.0.01b7e9aa\r\n") },
            { "LengthAboveTheMemory", kAnswers.Framed("Content-Length: 4000000000000\r\n", kRecord) } };
 }
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -48,11 +48,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, AnswerOfATarget, testing::ValuesIn(kAnswers.All()), kCaseName);
 
-INSTANTIATE_TEST_SUITE_P(Limit,
-                         AnswerOfATarget,
-                         testing::Values(BrokenAnswer{ "LengthAboveTheLimit",
-                                                       kAnswers.Framed("Content-Length: 600000\r\n", "body") }),
-                         kCaseName);
+/// Which of two values of a field holds cannot be known.
+INSTANTIATE_TEST_SUITE_P(
+  Protocol,
+  AnswerOfATarget,
+  testing::Values(BrokenAnswer{ "OtherIdToo", kAnswers.WithFields("Ibisrock-Request-Id: r0\r\n") },
+                  BrokenAnswer{ "IdTwice", kAnswers.WithFields("Ibisrock-Request-Id: r1\r\n") },
+                  BrokenAnswer{ "EmptyIdToo", kAnswers.WithFields("ibisrock-request-id:\r\n") },
+                  BrokenAnswer{ "OtherStampToo", kAnswers.WithFields("Ibisrock-Stamp: z\r\n") },
+                  BrokenAnswer{ "StampTwice", kAnswers.WithFields("Ibisrock-Stamp: s\r\n") },
+                  BrokenAnswer{ "LeavingAndNot", kAnswers.WithFields("Ibisrock-Leaving: 0\r\n") },
+                  BrokenAnswer{ "NotRunTwice",
+                                kAnswers.Answer("HTTP/1.1 503 X", "Ibisrock-Not-Run: 1\r\nIbisrock-Not-Run: 0\r\n") },
+                  BrokenAnswer{ "LengthAboveTheLimit", kAnswers.Framed("Content-Length: 600000\r\n", "body") }),
+  kCaseName);
 
 /// Guards against a line that begins with a blank and is overlooked because the head comes in two pieces, of which the
 /// parser has taken the lines of the first.
