Do not take trailers for fields of the head

Callers saw: fields behind a body in chunks counted as fields of its head.

Cause: the parser adds trailers to the fields of the head.

Fix: the fields are taken when the head is complete. Trailers are read and dropped.

Evidence: SoundAnswer.IsNotChangedByItsTrailers failed before (1 of 188 cases), passes now.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -278,11 +278,23 @@
     return false;
   }
   if (parser_->is_header_done()) {
-    parser_->eager(true);
+    TakeHead();
   }
   return true;
 }
 
+void
+LoopHttpConnection::TakeHead()
+{
+  const auto& head = parser_->get();
+  reply_ = {};
+  reply_.status_ = head.result_int();
+  for (const auto& field : head) {
+    reply_.fields_.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  parser_->eager(true);
+}
+
 /// A socket reports a reset once, and if a write takes it, the next read sees an end of file. The handler of that write
 /// may still be queued, so the end is judged behind it.
 void
@@ -321,7 +333,7 @@
 void
 LoopHttpConnection::OnParsed()
 {
-  if (IsInterim(parser_->get().result_int())) {
+  if (IsInterim(reply_.status_)) {
     std::string rest = std::move(pending_);
     pending_.clear();
     NewParser();
@@ -336,14 +348,9 @@
 void
 LoopHttpConnection::TakeReply()
 {
-  auto message = parser_->release();
+  ServerReply reply = std::move(reply_);
+  reply.body_ = std::make_shared<std::string>(std::move(parser_->get().body()));
   parser_.reset();
-  ServerReply reply;
-  reply.status_ = message.result_int();
-  for (const auto& field : message) {
-    reply.fields_.push_back({ std::string(field.name_string()), std::string(field.value()) });
-  }
-  reply.body_ = std::make_shared<std::string>(std::move(message.body()));
   keepAliveTime_ = ParseKeepAlive(reply.Field("Keep-Alive"));
   std::string rest = std::move(pending_);
   pending_.clear();
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -95,6 +95,7 @@
   void Consume(std::string_view aBytes);
   /// Checks lines that the parser has taken of a head. Returns false after it has ended the exchange.
   bool CheckHead(std::string_view aLines);
+  void TakeHead();
   void OnEndOfStream(const boost::system::error_code& aError);
   void JudgeEndOfStream(const boost::system::error_code& aError);
   void OnParsed();
@@ -120,6 +121,8 @@
   /// Number of the exchange, by which an exception is told from one of a later exchange.
   uint64_t exchange_ = 0;
   std::optional<ReplyParser> parser_;
+  /// The reply that is being read. Its fields are those of the head; trailers are dropped.
+  ServerReply reply_;
   /// Holds a part of a gathered answer with its header, which is the usual reply.
   std::array<char, 2048> readBuffer_{};
   /// Bytes that the parser has not taken yet, because a header is incomplete.
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -104,6 +104,27 @@
   EXPECT_EQ(outcome.status_, 200U);
 }
 
+/// Guards against fields behind a body that are believed as if they were in its head: a request that has run would be
+/// called not run.
+TEST(SoundAnswer, IsNotChangedByItsTrailers)
+{
+  LinkFixture fixture;
+  ScriptedTarget target(
+    fixture.loop_,
+    { { BrokenAnswers(kOwn, "body")
+          .Chunked("Transfer-Encoding: chunked\r\n",
+                   kNotices +
+                     "Ibisrock-Not-Run: 1\r\nIbisrock-Stamp: z\r\nContent-Encoding: gzip\r\nX-More: 1\r\n") } });
+  size_t notices = 0;
+  fixture.link_.SetOnNotice([&](const TargetCall&, const TargetNotice&) { notices++; });
+  const TargetOutcome outcome = fixture.Call(target.Address());
+  EXPECT_EQ(outcome.verdict_, Verdict::Ran);
+  EXPECT_EQ(outcome.stamp_, "s");
+  EXPECT_EQ(outcome.body_ ? *outcome.body_ : "", "body");
+  EXPECT_EQ(outcome.fields_, (std::vector<HeaderField>{ { "Ibisrock-Request-Id", "r1" }, { "Ibisrock-Stamp", "s" } }));
+  EXPECT_EQ(notices, 0U);
+}
+
 /// Guards against an exception while a reply is read, for example for lack of memory, that ends the work of others: it
 /// ends the exchange and its connection only.
 TEST(LoopHttpConnection, ExceptionWhileReadingEndsTheExchangeOnly)
