Bound what frames a reply beside its head and body

Seen: a chunk extension or trailers without end were read up to the limit of the whole reply, 16 MB from the store or a relay. All that had come was searched again with each piece: the two tests took 6.1 s and 1.9 s, in which the event loop was busy. From targets, with a limit of 512 KB, this was short.

Fix: at most 128 KB may wait for more; a head and a chunk's frame are smaller.

Bytes without end in a head, fields, bodies, chunks, interim replies or no HTTP at all were bounded before: EndlessBytes for targets, and the other five cases of EndlessStore.

--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr uint32_t kLargestHeader = 64 << 10;
+/// Bytes that the parser may leave until more have come: a head, or what frames a chunk. The parser has no limit for
+/// chunk extensions and trailers, and reads all of it again each time.
+constexpr size_t kMostPending = 2 * kLargestHeader;
+
 LoopHttpConnection::ConnectResult
 ResultOf(const boost::system::error_code& aError)
 {
@@ -254,6 +258,10 @@
       return;
     }
     if (error == http::error::need_more) {
+      if (aBytes.size() > kMostPending) {
+        Fail("a part of the reply that is not its body is too large");
+        return;
+      }
       pending_ = aBytes;
       return;
     }
