Do not count a broken reply as a lost connection

Cause: a reply that is no answer ended its call as a lost connection, which makes the request a suspect of having crashed its target. A target that answers has not crashed, whatever it answers. Entry instances check whether the target is still there, so that only one that is silent right afterwards counted as crashed.

Fix: such a call ends with the reason target-error, as an encoded body does. The verdict stays: the request may have run.

--- a/src/adapters/http_target_link.cpp
+++ b/src/adapters/http_target_link.cpp
@@ -242,7 +242,9 @@
 {
   const Call& call = calls_.at(aId);
   if (!aReply) {
-    End(aId, MakeFailure(Verdict::MayHaveRun, Reason::ConnectionLost));
+    // A target that answers has not crashed, whatever it answers.
+    const bool isBroken = call.connection_->IsReplyBroken();
+    End(aId, MakeFailure(Verdict::MayHaveRun, isBroken ? Reason::TargetError : Reason::ConnectionLost));
     return;
   }
   if (HasRepeatedField(*aReply)) {
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -126,6 +126,7 @@
   onReply_ = std::move(aOnReply);
   expectsNoBody_ = request_.expectsNoBody_;
   exchange_++;
+  isReplyBroken_ = false;
   sent_ = true;
   received_ = 0;
   reusable_ = false;
@@ -177,7 +178,7 @@
     OnBytesOrEnd(aError, aCount);
   } catch (const std::exception& error) {
     const bool isOfReply = onReply_ && exchange_ == exchange;
-    Fail(error.what());
+    RejectReply(error.what());
     if (!isOfReply) {
       throw;
     }
@@ -227,7 +228,7 @@
 {
   received_ += aBytes.size();
   if (received_ > maxReply_ + kLargestHeader) {
-    Fail("the server sends too much");
+    RejectReply("the server sends too much");
     return;
   }
   Consume(aBytes);
@@ -259,14 +260,14 @@
     }
     if (error == http::error::need_more) {
       if (aBytes.size() > kMostPending) {
-        Fail("a part of the reply that is not its body is too large");
+        RejectReply("a part of the reply that is not its body is too large");
         return;
       }
       pending_ = aBytes;
       return;
     }
     if (error) {
-      Fail(error.message());
+      RejectReply(error.message());
       return;
     }
     if (parser_->is_done()) {
@@ -282,7 +283,7 @@
 LoopHttpConnection::CheckHead(std::string_view aLines)
 {
   if (const std::string_view fault = FaultOfHead(*parser_, aLines); !fault.empty()) {
-    Fail(std::string(fault));
+    RejectReply(std::string(fault));
     return false;
   }
   if (parser_->is_header_done()) {
@@ -386,6 +387,13 @@
   onReply(std::move(reply), {});
 }
 
+void
+LoopHttpConnection::RejectReply(const std::string& aWhy)
+{
+  isReplyBroken_ = true;
+  Fail(aWhy);
+}
+
 void
 LoopHttpConnection::Fail(const std::string& aWhy)
 {
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -83,6 +83,8 @@
   bool CanBeReused() const { return open_ && !onReply_ && reusable_; }
   /// Whether a request was written, at least in part, on the open connection since the last reply.
   bool HasSent() const { return sent_; }
+  /// Whether the last exchange ended because of what the server sent, and not because the connection was lost.
+  bool IsReplyBroken() const { return isReplyBroken_; }
   /// Time that the server keeps the idle connection, if it said so.
   std::optional<Micros> KeepAliveTime() const { return keepAliveTime_; }
 
@@ -101,6 +103,8 @@
   void OnParsed();
   void TakeReply();
   void NewParser();
+  /// Fails because of what the server has sent.
+  void RejectReply(const std::string& aWhy);
   void Fail(const std::string& aWhy);
 
   boost::asio::io_context& loop_;
@@ -117,6 +121,7 @@
   /// The stream has ended, so that nothing more is read.
   bool hasEnded_ = false;
   bool expectsNoBody_ = false;
+  bool isReplyBroken_ = false;
   RequestText request_;
   /// Number of the exchange, by which an exception is told from one of a later exchange.
   uint64_t exchange_ = 0;
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -40,6 +40,8 @@
   }
   ASSERT_TRUE(outcome) << "the call hangs";
   EXPECT_EQ(outcome->verdict_, Verdict::MayHaveRun);
+  // A lost connection would count against the request.
+  EXPECT_EQ(outcome->reason_, Reason::TargetError);
   EXPECT_EQ(outcome->status_, 0U);
   EXPECT_EQ(outcome->body_ ? *outcome->body_ : "", "");
   EXPECT_EQ(notices, 0U);
