Check the heads of replies to the daemon and the tool

The daemon's calls to targets, its status checks, its store and its instance list are read by HttpConnection, which had the same faults: a status that HTTP does not have, a line that begins with a blank, unknown codings and trailers were believed, and a length above the memory ended the process by std::bad_alloc in a worker thread. An interim reply was taken for the answer, so that the answer itself could pass for one to the next request on the connection. A broken reply counted as a lost connection, by which the crash guard suspects the query.

Fix: the head is read by itself and asked by FaultOfHead; interim replies are passed over, at most 16. The fields are those of the head, and at most 128 KB wait to be parsed. A broken reply has the reason target-error; an exception of reading ends the call only.

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -1,11 +1,13 @@
 #include "adapters/http_connection.h"
 
+#include "adapters/reply_head.h"
 #include "adapters/socket_address.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
 #include <boost/beast/http.hpp>
 
 namespace ibisrock::adapters {
@@ -16,11 +18,13 @@
 namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
-using Parser = http::response_parser<http::string_body>;
 
 /// The object API holds values up to 1 MB and a state dump of a large instance is a few MB.
 constexpr uint64_t kMaxReplyBody = uint64_t{ 64 } * 1024 * 1024;
 constexpr uint32_t kMaxReplyHeader = 64 * 1024;
+/// Bytes that the parser has not taken yet: a head, or what frames a chunk.
+constexpr size_t kMaxUnparsed = 2 * kMaxReplyHeader;
+constexpr unsigned kMaxInterimReplies = 16;
 
 HttpOutcome
 FailedOutcome(Verdict aVerdict, Reason aReason, std::string aError)
@@ -50,19 +54,28 @@
   return request;
 }
 
+/// The outcome as far as the head of a reply tells it.
 HttpOutcome
-CompleteOutcome(http::response<http::string_body> aReply)
+OutcomeOfHead(const ReplyParser& aParser)
 {
   HttpOutcome outcome;
   outcome.verdict_ = Verdict::Ran;
-  outcome.status_ = aReply.result_int();
-  for (const auto& field : aReply) {
+  outcome.status_ = aParser.get().result_int();
+  for (const auto& field : aParser.get()) {
     outcome.headers_[std::string(field.name_string())] = std::string(field.value());
   }
-  outcome.body_ = std::move(aReply.body());
   return outcome;
 }
 
+/// Whether an error is one of the bytes of a reply, and not of the connection or its end.
+bool
+IsOfReply(const ErrorCode& aError)
+{
+  return aError == asio::error::not_found ||
+         (aError.category() == http::make_error_code(http::error::need_more).category() &&
+          aError != http::error::end_of_stream && aError != http::error::partial_message);
+}
+
 /// Addresses are IP numbers; a host name is accepted for the operators' tool.
 std::optional<Tcp::endpoint>
 Resolve(asio::io_context& aContext, const SocketAddress& aAddress, ErrorCode& aError)
@@ -96,9 +109,14 @@
     return false;
   }
 
+  HttpOutcome ReadReply(Clock::time_point aDeadline);
+  bool ReadHead(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed);
+  bool ReadBody(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed);
+  bool HasArrived(bool aIsInTime, const ErrorCode& aError, HttpOutcome& aFailed) const;
+
   asio::io_context context_{ 1 };
   Tcp::socket socket_{ context_ };
-  boost::beast::flat_buffer buffer_;
+  asio::streambuf buffer_{ kMaxUnparsed };
   bool isReusable_ = false;
   bool hasReadAny_ = false;
 };
@@ -155,21 +173,90 @@
                        : FailedOutcome(Verdict::MayHaveRun, Reason::TimedOut, "request not sent in time");
   }
 
-  Parser parser;
-  parser.header_limit(kMaxReplyHeader);
-  parser.body_limit(kMaxReplyBody);
-  http::async_read(
-    impl_->socket_, impl_->buffer_, parser, [&error](const ErrorCode& aError, size_t /*aRead*/) { error = aError; });
-  const bool readInTime = impl_->RunUntil(aDeadline);
-  impl_->hasReadAny_ = parser.got_some();
-  if (!readInTime) {
-    return FailedOutcome(Verdict::MayHaveRun, Reason::TimedOut, "no complete reply in time");
+  try {
+    return impl_->ReadReply(aDeadline);
+  } catch (const std::exception& failure) {
+    // For example, memory is short. The connection is not used again.
+    return FailedOutcome(Verdict::MayHaveRun, Reason::TargetError, failure.what());
   }
-  if (error) {
-    return FailedOutcome(Verdict::MayHaveRun, Reason::ConnectionLost, error.message());
+}
+
+/// Reads the final reply. What comes before it is no answer, and must not be left for the next request.
+HttpOutcome
+HttpConnection::Impl::ReadReply(Clock::time_point aDeadline)
+{
+  HttpOutcome failed;
+  for (unsigned i = 0; i <= kMaxInterimReplies; i++) {
+    ReplyParser parser;
+    if (!ReadHead(parser, aDeadline, failed)) {
+      return failed;
+    }
+    if (IsInterim(parser.get().result_int())) {
+      continue;
+    }
+    HttpOutcome outcome = OutcomeOfHead(parser);
+    if (!parser.is_done() && !ReadBody(parser, aDeadline, failed)) {
+      return failed;
+    }
+    isReusable_ = parser.keep_alive() && buffer_.size() == 0;
+    outcome.body_ = std::move(parser.get().body());
+    return outcome;
+  }
+  return FailedOutcome(Verdict::MayHaveRun, Reason::TargetError, "too many interim replies");
+}
+
+/// Returns false and tells why if the head does not come, or is none.
+bool
+HttpConnection::Impl::ReadHead(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed)
+{
+  ErrorCode error;
+  size_t size = 0;
+  asio::async_read_until(socket_, buffer_, "\r\n\r\n", [&](const ErrorCode& aError, size_t aSize) {
+    error = aError;
+    size = aSize;
+  });
+  const bool isInTime = RunUntil(aDeadline);
+  hasReadAny_ = hasReadAny_ || buffer_.size() > 0;
+  if (!HasArrived(isInTime, error, aFailed)) {
+    return false;
+  }
+  const std::string_view text(static_cast<const char*>(buffer_.data().data()), size);
+  aParser.header_limit(kMaxReplyHeader);
+  aParser.body_limit(kMaxReplyBody);
+  // The parser stops behind the head, so that it does not reserve the memory for a body of any length.
+  aParser.eager(false);
+  const size_t taken = aParser.put(asio::buffer(text.data(), text.size()), error);
+  std::string fault = error ? error.message() : std::string(FaultOfHead(aParser, text));
+  if (fault.empty() && !aParser.is_header_done()) {
+    fault = "the head is incomplete";
+  }
+  buffer_.consume(taken);
+  if (!fault.empty()) {
+    aFailed = FailedOutcome(Verdict::MayHaveRun, Reason::TargetError, fault);
+  }
+  return fault.empty();
+}
+
+/// Returns false and tells why if the body does not come.
+bool
+HttpConnection::Impl::ReadBody(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed)
+{
+  ErrorCode error;
+  http::async_read(socket_, buffer_, aParser, [&error](const ErrorCode& aError, size_t /*aRead*/) { error = aError; });
+  const bool isInTime = RunUntil(aDeadline);
+  return HasArrived(isInTime, error, aFailed);
+}
+
+bool
+HttpConnection::Impl::HasArrived(bool aIsInTime, const ErrorCode& aError, HttpOutcome& aFailed) const
+{
+  if (!aIsInTime) {
+    aFailed = FailedOutcome(Verdict::MayHaveRun, Reason::TimedOut, "no complete reply in time");
+  } else if (aError) {
+    aFailed = FailedOutcome(
+      Verdict::MayHaveRun, IsOfReply(aError) ? Reason::TargetError : Reason::ConnectionLost, aError.message());
   }
-  impl_->isReusable_ = parser.keep_alive() && impl_->buffer_.size() == 0;
-  return CompleteOutcome(parser.release());
+  return aIsInTime && !aError;
 }
 
 bool
