Bound the replies that the daemon reads

Seen in tests: a target that sends without end was read up to 64 MB, in an attempt, a status check or a cancellation. With the default of 128 attempts at once, that is 8 GB.

Fix: a call states the longest body that it takes: 1 MB from targets, 4 MB from the store and the instance list, 64 MB for a state dump that the tool asks for.

--- a/src/adapters/http_caller.h
+++ b/src/adapters/http_caller.h
@@ -14,6 +14,9 @@
 
 struct HttpCall
 {
+  /// Longest state dump of an instance.
+  static constexpr uint64_t kMaxStateDump = 64 << 20;
+
   /// "ip:port".
   std::string address_;
   std::string method_ = "GET";
@@ -25,6 +28,8 @@
   /// Uses a new connection, which is closed afterwards. A peer may close a kept connection while a request is on its
   /// way; for requests that must not end in doubt for this reason. No request is ever sent twice, whatever this says.
   bool freshConnection_ = false;
+  /// Longest body of a reply. Values of the object API have up to 1 MB, replies of targets some kilobytes.
+  uint64_t maxReply_ = 4 << 20;
   /// Connections to the address that may be open at the same time, idle ones included; 0 for no limit.
   uint32_t maxConnections_ = 0;
 };
--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -19,8 +19,6 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/// The object API holds values up to 1 MB and a state dump of a large instance is a few MB.
-constexpr uint64_t kMaxReplyBody = uint64_t{ 64 } * 1024 * 1024;
 constexpr uint32_t kMaxReplyHeader = 64 * 1024;
 /// Bytes that the parser has not taken yet: a head, or what frames a chunk.
 constexpr size_t kMaxUnparsed = 2 * kMaxReplyHeader;
@@ -109,8 +107,8 @@
     return false;
   }
 
-  HttpOutcome ReadReply(Clock::time_point aDeadline);
-  bool ReadHead(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed);
+  HttpOutcome ReadReply(uint64_t aMaxBody, Clock::time_point aDeadline);
+  bool ReadHead(ReplyParser& aParser, uint64_t aMaxBody, Clock::time_point aDeadline, HttpOutcome& aFailed);
   bool ReadBody(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed);
   bool HasArrived(bool aIsInTime, const ErrorCode& aError, HttpOutcome& aFailed) const;
 
@@ -174,7 +172,7 @@
   }
 
   try {
-    return impl_->ReadReply(aDeadline);
+    return impl_->ReadReply(aCall.maxReply_, aDeadline);
   } catch (const std::exception& failure) {
     // For example, memory is short. The connection is not used again.
     return FailedOutcome(Verdict::MayHaveRun, Reason::TargetError, failure.what());
@@ -183,12 +181,12 @@
 
 /// Reads the final reply. What comes before it is no answer, and must not be left for the next request.
 HttpOutcome
-HttpConnection::Impl::ReadReply(Clock::time_point aDeadline)
+HttpConnection::Impl::ReadReply(uint64_t aMaxBody, Clock::time_point aDeadline)
 {
   HttpOutcome failed;
   for (unsigned i = 0; i <= kMaxInterimReplies; i++) {
     ReplyParser parser;
-    if (!ReadHead(parser, aDeadline, failed)) {
+    if (!ReadHead(parser, aMaxBody, aDeadline, failed)) {
       return failed;
     }
     if (IsInterim(parser.get().result_int())) {
@@ -207,7 +205,10 @@
 
 /// Returns false and tells why if the head does not come, or is none.
 bool
-HttpConnection::Impl::ReadHead(ReplyParser& aParser, Clock::time_point aDeadline, HttpOutcome& aFailed)
+HttpConnection::Impl::ReadHead(ReplyParser& aParser,
+                               uint64_t aMaxBody,
+                               Clock::time_point aDeadline,
+                               HttpOutcome& aFailed)
 {
   ErrorCode error;
   size_t size = 0;
@@ -222,7 +223,7 @@
   }
   const std::string_view text(static_cast<const char*>(buffer_.data().data()), size);
   aParser.header_limit(kMaxReplyHeader);
-  aParser.body_limit(kMaxReplyBody);
+  aParser.body_limit(aMaxBody);
   // The parser stops behind the head, so that it does not reserve the memory for a body of any length.
   aParser.eager(false);
   const size_t taken = aParser.put(asio::buffer(text.data(), text.size()), error);
--- a/src/adapters/http_target_client.cpp
+++ b/src/adapters/http_target_client.cpp
@@ -11,6 +11,9 @@
 
 constexpr Micros kCancelTimeout = Millis(200);
 constexpr Micros kProbeTimeout = Millis(500);
+/// Targets reply with some kilobytes. All threads together stay within the memory of an instance even if their targets
+/// send without end.
+constexpr uint64_t kMaxReply = 1 << 20;
 
 std::string
 HeaderOf(const HttpOutcome& aOutcome, const char* aName)
@@ -125,6 +128,7 @@
 HttpTargetClient::Run(const TargetAttempt& aAttempt)
 {
   HttpCall call;
+  call.maxReply_ = kMaxReply;
   call.address_ = aAttempt.address_.Value();
   call.method_ = "POST";
   call.url_ = "/search/" + aAttempt.service_.Value() + "/" + aAttempt.shard_.Value();
@@ -153,6 +157,7 @@
   }
   workers_.Add([this, address, aId] {
     HttpCall call;
+    call.maxReply_ = kMaxReply;
     call.address_ = address.Value();
     call.method_ = "POST";
     call.url_ = "/cancel";
@@ -167,6 +172,7 @@
 {
   workers_.Add([this, aAddress, callback = std::move(aCallback)] {
     HttpCall call;
+    call.maxReply_ = kMaxReply;
     call.address_ = aAddress.Value();
     call.url_ = "/health";
     call.timeout_ = kProbeTimeout;
--- a/src/cli/dump.cpp
+++ b/src/cli/dump.cpp
@@ -14,6 +14,7 @@
   adapters::HttpCall call;
   call.address_ = *address;
   call.url_ = "/debug/state";
+  call.maxReply_ = adapters::HttpCall::kMaxStateDump;
   const adapters::HttpOutcome outcome = adapters::HttpCaller().Call(call);
   if (outcome.verdict_ != Verdict::Ran) {
     aCall.err_ << "ibisrock: " << *address << ": " << outcome.error_ << "\n";
--- a/src/cli/instance_status.cpp
+++ b/src/cli/instance_status.cpp
@@ -29,6 +29,7 @@
   adapters::HttpCall call;
   call.address_ = aListed.httpAddress_;
   call.url_ = "/debug/state";
+  call.maxReply_ = adapters::HttpCall::kMaxStateDump;
   call.timeout_ = kStateTimeout;
   const adapters::HttpOutcome outcome = aCaller.Call(call);
   if (outcome.verdict_ != Verdict::Ran) {
--- a/tests/broken_daemon_answer_test.cpp
+++ b/tests/broken_daemon_answer_test.cpp
@@ -94,6 +94,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, AnswerToAStatusCheck, testing::ValuesIn(kAnswers.All()), kCaseName);
 
+INSTANTIATE_TEST_SUITE_P(Limit,
+                         AnswerToTheDaemon,
+                         testing::Values(BrokenAnswer{ "LengthAboveTheLimit",
+                                                       kAnswers.Framed("Content-Length: 60000000\r\n", "body") }),
+                         kCaseName);
+
 /// Guards against an interim reply that is taken for the answer, so that the answer itself passes for one to the next
 /// request on the connection.
 TEST(AnswerToTheDaemon, ComesAfterInterimReplies)
@@ -122,5 +128,54 @@
   EXPECT_EQ(reply.version_, IndexVersion(7));
 }
 
+struct EndlessCase
+{
+  const char* name_;
+  std::string prefix_;
+  std::string repeated_;
+};
+
+class EndlessAnswerToTheDaemon : public testing::TestWithParam<EndlessCase>
+{};
+
+/// Guards against a daemon that runs out of memory while a target sends bytes without end: the connection is closed
+/// after a bounded number of bytes.
+TEST_P(EndlessAnswerToTheDaemon, EndsTheAttemptAndItsConnection)
+{
+  constexpr size_t kMaxSent = 16 << 20;
+  const uint16_t port = FreePort();
+  std::atomic<size_t> sent = 0;
+  RawTarget target(port, [&sent](TargetConnection& aConnection) {
+    std::string block;
+    while (block.size() < (64 << 10)) {
+      block += GetParam().repeated_;
+    }
+    aConnection.Write(GetParam().prefix_);
+    while (sent < 8 * kMaxSent) {
+      aConnection.Write(block);
+      sent += block.size();
+    }
+  });
+  HttpTargetClient client(1);
+  const TargetReply reply = Search(client, "127.0.0.1:" + std::to_string(port));
+  EXPECT_EQ(reply.verdict_, Verdict::MayHaveRun);
+  EXPECT_LE(sent, kMaxSent);
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Daemon,
+  EndlessAnswerToTheDaemon,
+  testing::Values(EndlessCase{ "Head", kOk, "X-More: abcdefgh\r\n" },
+                  EndlessCase{ "Body", kOk + "\r\n", "0123456789abcdef" },
+                  EndlessCase{ "BodyWithHugeLength", kOk + "Content-Length: 9000000000\r\n\r\n", "0123456789abcdef" },
+                  EndlessCase{ "Chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n" },
+                  EndlessCase{ "ChunkExtension", kOk + "Transfer-Encoding: chunked\r\n\r\n4;x=", "a" },
+                  EndlessCase{ "Trailer", kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: a\r\n" },
+                  EndlessCase{ "InterimReplies", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+                  EndlessCase{ "NoHttp", "", "garbage " }),
+  kCaseName);
+
 } // namespace
 } // namespace ibisrock::adapters
