Take no reply to the daemon that states a decisive header twice

Of two index versions, states, boots or refusals in one reply of a target, and of two revisions in one of the store, the last was believed: matches of one index version could be merged as those of another.

Fix: such a reply of a target may have run and says nothing; a write to the store with such an answer is unknown.

--- a/src/adapters/http_caller.h
+++ b/src/adapters/http_caller.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace ibisrock::adapters {
@@ -50,6 +51,8 @@
   bool lostKeptConnection_ = false;
   unsigned status_ = 0;
   std::map<std::string, std::string, HeaderNameLess> headers_;
+  /// Names of the headers that occur more than once, of which headers_ has the last value.
+  std::set<std::string, HeaderNameLess> repeated_;
   std::string body_;
 };
 
--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -60,7 +60,10 @@
   outcome.verdict_ = Verdict::Ran;
   outcome.status_ = aParser.get().result_int();
   for (const auto& field : aParser.get()) {
-    outcome.headers_[std::string(field.name_string())] = std::string(field.value());
+    const std::string name(field.name_string());
+    if (!outcome.headers_.insert_or_assign(name, std::string(field.value())).second) {
+      outcome.repeated_.insert(name);
+    }
   }
   return outcome;
 }
--- a/src/adapters/http_object_store.cpp
+++ b/src/adapters/http_object_store.cpp
@@ -42,7 +42,10 @@
 ToResult(const HttpOutcome& aOutcome)
 {
   StoreResult result;
-  if (aOutcome.verdict_ == Verdict::Ran) {
+  if (aOutcome.verdict_ == Verdict::Ran && aOutcome.repeated_.contains(kRevisionHeader)) {
+    // Which revision holds cannot be known.
+    result.outcome_ = StoreOutcome::Unknown;
+  } else if (aOutcome.verdict_ == Verdict::Ran) {
     result.outcome_ = OutcomeOfStatus(aOutcome.status_);
     result.revision_ = RevisionOf(aOutcome);
     result.value_ = aOutcome.body_;
--- a/src/adapters/http_target_client.cpp
+++ b/src/adapters/http_target_client.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/target_protocol.h"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -70,6 +72,15 @@
   }
 }
 
+/// Whether a header that decides what a reply means occurs more than once: which value holds cannot be known.
+bool
+HasRepeatedHeader(const HttpOutcome& aOutcome)
+{
+  constexpr std::array kDecisive{ kIndexVersionHeader, kTargetStateHeader, kBootHeader, kNotRunHeader };
+  return std::any_of(
+    kDecisive.begin(), kDecisive.end(), [&](const char* aName) { return aOutcome.repeated_.contains(aName); });
+}
+
 /// Reads what the target says of itself in the headers of any complete reply.
 TargetReply
 DescribeTarget(const HttpOutcome& aOutcome)
@@ -78,7 +89,10 @@
   reply.verdict_ = aOutcome.verdict_;
   reply.reason_ = aOutcome.reason_;
   reply.lostKeptConnection_ = aOutcome.lostKeptConnection_;
-  if (aOutcome.verdict_ == Verdict::Ran) {
+  if (aOutcome.verdict_ == Verdict::Ran && HasRepeatedHeader(aOutcome)) {
+    reply.verdict_ = Verdict::MayHaveRun;
+    reply.reason_ = Reason::TargetError;
+  } else if (aOutcome.verdict_ == Verdict::Ran) {
     reply.state_ = StateFromText(HeaderOf(aOutcome, kTargetStateHeader));
     reply.boot_ = BootId(HeaderOf(aOutcome, kBootHeader));
     reply.held_ = VersionsFromText(HeaderOf(aOutcome, kHeldVersionsHeader));
@@ -92,7 +106,7 @@
 ToTargetReply(const HttpOutcome& aOutcome)
 {
   TargetReply reply = DescribeTarget(aOutcome);
-  if (aOutcome.verdict_ != Verdict::Ran) {
+  if (reply.verdict_ != Verdict::Ran) {
     return reply;
   }
   reply.version_ = VersionFromText(HeaderOf(aOutcome, kIndexVersionHeader));
--- a/tests/broken_daemon_answer_test.cpp
+++ b/tests/broken_daemon_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http_caller.h"
+#include "adapters/http_object_store.h"
 #include "adapters/http_target_client.h"
 #include "adapters/target_protocol.h"
 #include "broken_answers.h"
@@ -94,11 +95,17 @@
 
 INSTANTIATE_TEST_SUITE_P(Http, AnswerToAStatusCheck, testing::ValuesIn(kAnswers.All()), kCaseName);
 
-INSTANTIATE_TEST_SUITE_P(Limit,
-                         AnswerToTheDaemon,
-                         testing::Values(BrokenAnswer{ "LengthAboveTheLimit",
-                                                       kAnswers.Framed("Content-Length: 60000000\r\n", "body") }),
-                         kCaseName);
+/// Which of two values of a field holds cannot be known.
+INSTANTIATE_TEST_SUITE_P(
+  Protocol,
+  AnswerToTheDaemon,
+  testing::Values(BrokenAnswer{ "OtherVersionToo", kAnswers.WithFields("Ibisrock-Index-Version: 8\r\n") },
+                  BrokenAnswer{ "OtherStateToo", kAnswers.WithFields("Ibisrock-Target-State: draining\r\n") },
+                  BrokenAnswer{
+                    "NotRunTwice",
+                    kAnswers.Answer("HTTP/1.1 503 X", "Ibisrock-Not-Run: overloaded\r\nIbisrock-Not-Run: x\r\n") },
+                  BrokenAnswer{ "LengthAboveTheLimit", kAnswers.Framed("Content-Length: 60000000\r\n", "body") }),
+  kCaseName);
 
 /// Guards against an interim reply that is taken for the answer, so that the answer itself passes for one to the next
 /// request on the connection.
@@ -128,6 +135,20 @@
   EXPECT_EQ(reply.version_, IndexVersion(7));
 }
 
+/// Guards against a write to the daemon's store whose revision is taken from an answer that states two.
+TEST(AnswerToTheDaemon, OfTheStoreHasOneRevision)
+{
+  const uint16_t port = FreePort();
+  RawTarget target(port,
+                   Answering({ "", "HTTP/1.1 200 OK\r\nRevision: 7\r\nRevision: 9\r\nContent-Length: 0\r\n\r\n" }));
+  HttpObjectStore store("127.0.0.1:" + std::to_string(port));
+  std::promise<StoreResult> promise;
+  store.Put("key", RawTarget::kEndOfBody, StoreRevision(6), [&promise](StoreResult aResult) {
+    promise.set_value(std::move(aResult));
+  });
+  EXPECT_EQ(promise.get_future().get().outcome_, StoreOutcome::Unknown);
+}
+
 struct EndlessCase
 {
   const char* name_;
