--- a/tests/nng_transport_test.cpp
+++ b/tests/nng_transport_test.cpp
@@ -109,7 +109,8 @@
   std::thread thread_;
 };
 
-// Guards against messages that batching loses, doubles, reorders or alters.
+// Guards against messages that batching loses, doubles, reorders or alters, and against a frame that announces more
+// than the memory holds or nests without end.
 TEST(Frame, KeepsMessages)
 {
   const std::vector<std::string> messages{ "a", "", std::string(70000, 'x'), std::string("\0\xff", 2) };
@@ -119,8 +120,14 @@
   DecodeFrame(frame, collect);
   EXPECT_EQ(decoded, messages);
   decoded.clear();
-  for (const std::string& malformed :
-       { std::string(), frame.substr(0, 5), std::string("\x91\x01"), std::string("x") }) {
+  for (const std::string& malformed : { std::string(),
+                                        frame.substr(0, 5),
+                                        std::string("\x91\x01"),
+                                        std::string("x"),
+                                        std::string("\xdd\xff\xff\xff\xff"),
+                                        std::string("\xdf\xff\xff\xff\xff"),
+                                        std::string("\xc6\xff\xff\xff\xff"),
+                                        std::string(1'000'000, '\x91') }) {
     DecodeFrame(malformed, collect);
   }
   EXPECT_TRUE(decoded.empty());
