--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -188,6 +188,24 @@
   EXPECT_TRUE(ParseTolerant(whole + "}").is_null());
 }
 
+/// Guards against an instance that runs out of memory by a body of a store in trouble, or of an instance that relays
+/// it, which holds more values than its length lets expect, and against a long list of targets that is not read for it.
+TEST(TolerantJson, BodyOfTooManyValuesIsNothing)
+{
+  const auto list = [](size_t aCount, const std::string& aItem) {
+    std::string text = R"({"items":[)";
+    for (size_t i = 0; i < aCount; i++) {
+      text += aItem;
+    }
+    return text + R"(0],"asOf":5})";
+  };
+  EXPECT_TRUE(ParseTolerant(list(5'000'000, "{},")).is_null());
+  const std::string target = R"({"meta":{"name":"i","revision":1,"createRevision":1,"finalizers":[],"deleting":false},)"
+                             R"("spec":{"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,"state":"[ready,]",)"
+                             R"("warmupLeftMs":0,"seqNo":1,"version":"v","born":1700000000000},"status":{}},)";
+  EXPECT_EQ(ParseTolerant(list(16'000, target))["asOf"], 5);
+}
+
 /// Guards against a name of another program that changes the meaning of the call for the next page.
 TEST(QueryString, ValuesKeepTheirBytes)
 {
