Limit what a frame between daemon instances may announce

Without the sanitizer the request failed, or would be granted on a machine that gives out more memory than it has.

Cause: a frame was unpacked without limits, unlike the messages in it.

Fix: the limits of a message: no element takes less than one byte, and a frame is one array.

--- a/src/adapters/frame.cpp
+++ b/src/adapters/frame.cpp
@@ -5,6 +5,13 @@
 
 namespace ibisrock::adapters {
 
+namespace {
+
+/// A frame is one array of messages.
+constexpr size_t kMaxDepth = 1;
+
+} // namespace
+
 std::string
 EncodeFrame(const std::vector<std::string>& aMessages)
 {
@@ -24,7 +31,11 @@
   std::vector<std::string_view> messages;
   msgpack::object_handle handle;
   try {
-    handle = msgpack::unpack(aFrame.data(), aFrame.size());
+    // No element of a frame takes less than one byte. Without these limits, a frame that announces 2^32 messages makes
+    // the library reserve memory for all of them.
+    const size_t size = aFrame.size();
+    const msgpack::unpack_limit limit(size, size, size, size, size, kMaxDepth);
+    handle = msgpack::unpack(aFrame.data(), size, nullptr, nullptr, limit);
     messages = handle.get().as<std::vector<std::string_view>>();
   } catch (const std::exception&) {
     return;
