Take at most 16 interim replies to a request

Seen: in a run of the thread sanitizer's tests beside the linter, EndlessStore/InterimReplies had no answer after 10 s. The instance read interim replies of a store in trouble up to the limit of 16 MB, 670,000 of them, and the event loop was busy with them.

Fix: after 16 interim replies the reply is broken, as in HttpConnection.

--- a/src/adapters/http_connection.cpp
+++ b/src/adapters/http_connection.cpp
@@ -22,7 +22,6 @@
 constexpr uint32_t kMaxReplyHeader = 64 * 1024;
 /// Bytes that the parser has not taken yet: a head, or what frames a chunk.
 constexpr size_t kMaxUnparsed = 2 * kMaxReplyHeader;
-constexpr unsigned kMaxInterimReplies = 16;
 
 HttpOutcome
 FailedOutcome(Verdict aVerdict, Reason aReason, std::string aError)
--- a/src/adapters/loop_http_connection.cpp
+++ b/src/adapters/loop_http_connection.cpp
@@ -127,6 +127,7 @@
   expectsNoBody_ = request_.expectsNoBody_;
   exchange_++;
   isReplyBroken_ = false;
+  interimReplies_ = 0;
   sent_ = true;
   received_ = 0;
   reusable_ = false;
@@ -343,6 +344,10 @@
 LoopHttpConnection::OnParsed()
 {
   if (IsInterim(reply_.status_)) {
+    if (++interimReplies_ > kMaxInterimReplies) {
+      RejectReply("too many interim replies");
+      return;
+    }
     std::string rest = std::move(pending_);
     pending_.clear();
     NewParser();
--- a/src/adapters/loop_http_connection.h
+++ b/src/adapters/loop_http_connection.h
@@ -122,6 +122,7 @@
   bool hasEnded_ = false;
   bool expectsNoBody_ = false;
   bool isReplyBroken_ = false;
+  unsigned interimReplies_ = 0;
   RequestText request_;
   /// Number of the exchange, by which an exception is told from one of a later exchange.
   uint64_t exchange_ = 0;
--- a/src/adapters/reply_head.h
+++ b/src/adapters/reply_head.h
@@ -14,6 +14,9 @@
 std::string_view
 FaultOfHead(const ReplyParser& aParser, std::string_view aLines);
 
+/// Most interim replies to a request. A server that sends more is in trouble.
+constexpr unsigned kMaxInterimReplies = 16;
+
 /// Whether another reply to the same request follows one with this status.
 bool
 IsInterim(unsigned aStatus);
