Show in logs and metrics when a list of the source is not taken

Cause: a list that is older than what is known was asked for again without a trace, and the ages of the configuration and the targets counted from the latest answer, whether anything was taken from it or not.

No decision changes.

--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -133,7 +133,8 @@
                           }
                         },
                         [&](uint64_t aRevision) { cache.AdvanceTo(aRevision); },
-                        [&](bool aAnswered) { failed = failed || !aAnswered; } });
+                        [&](bool aAnswered) { failed = failed || !aAnswered; },
+                        [](uint64_t, uint64_t) {} });
   watcher.Restart();
   for (int step = 0; step < 50; step++) {
     store.timers_.Advance(Millis(20));
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -2,6 +2,7 @@
 #define IBISROCK_TESTS_RELAY_FLEET_H
 
 #include "fake_target_link.h"
+#include "line_sink.h"
 #include "platform/discovery.h"
 #include "platform/emulator/store_emulator.h"
 
@@ -15,11 +16,6 @@
 inline constexpr Seconds kApplyTime(6);
 inline constexpr Seconds kLeaveTime(6);
 
-struct NullLog final : LogSink
-{
-  void Write(LogLevel, const char*, const std::string&) override {}
-};
-
 inline json
 Configuration(uint64_t aVersion)
 {
@@ -170,7 +166,7 @@
   boost::asio::io_context loop_{ 1 };
   ManualTimerService timers_;
   Random random_{ 1 };
-  NullLog log_;
+  LineSink log_;
   std::unique_ptr<StoreEmulator> store_;
   std::vector<std::unique_ptr<Node>> nodes_;
 };
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -324,7 +324,8 @@
                       { [&](const std::vector<json>& aItems, bool) { listed += aItems.size(); },
                         [&](const json&, bool) {},
                         [](uint64_t) {},
-                        [](bool) {} });
+                        [](bool) {},
+                        [](uint64_t, uint64_t) {} });
   watcher.Restart();
   for (int step = 0; step < 100; step++) {
     timers.Advance(Millis(20));
