Order what is known of the store by era and revision

Seen by callers: after the store's return from an older copy, 404 for routes that were added later, answers by services that a newer configuration had replaced, and requests to targets that had said that they leave (CONFIG and DRAIN), on all instances, for as long as the store's revision needed to pass the old one, or for good.

Cause: revisions alone ordered what is known. The store gives them out again after it has returned from an older copy, so that its lists looked like those of a relay that is behind, and were asked for again without end. The refused lists counted as contact, so that instances held what they knew for current. A watch could also be carried on from a revision that had another content by then, and a relay confirmed positions that it had not seen.

Change: a position is an era and a revision (StorePosition). StoreEras judges each answer, of the store or of a relay, by the era that it states; an answer of an older era is no answer. Registrations and vacancies have positions, too.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -155,15 +155,21 @@
   impl_->SetGauge("ibisrock_targets_age_seconds",
                   "Time since the source of changes last confirmed the targets",
                   ToSeconds(aState.targetsAge_));
+  impl_->SetGauge("ibisrock_store_era",
+                  "Newest era of the store: it rises each time the store returns from an older copy",
+                  toDouble(aState.storeEra_));
   impl_->SetGauge("ibisrock_configuration_revision",
                   "Revision of the store up to which all changes of the configuration are known",
                   toDouble(aState.configurationRevision_));
   impl_->SetGauge("ibisrock_targets_revision",
                   "Revision of the store up to which all changes of the targets are known",
                   toDouble(aState.targetsRevision_));
-  impl_->SetGauge("ibisrock_lists_refused",
-                  "Lists of the source that were not taken because they are older than what is known",
-                  toDouble(aState.listsRefused_));
+  impl_->SetGauge("ibisrock_answers_behind",
+                  "Answers of the source that were not taken because they are older than what is known",
+                  toDouble(aState.answersBehind_));
+  impl_->SetGauge("ibisrock_answers_disregarded",
+                  "Answers of an older era of the store, or without a readable one once an era is known",
+                  toDouble(aState.answersDisregarded_));
   impl_->SetGauge("ibisrock_extra_attempts_earned",
                   "Extra attempts at a pool that each first attempt there allows this instance",
                   aState.extraAttemptsEarned_);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -26,11 +26,13 @@
   /// Time since the source of changes last confirmed what is known.
   Micros configurationAge_{};
   Micros targetsAge_{};
-  /// Revisions of the store up to which all changes are known.
+  /// The newest era of the store, and the revisions up to which all changes are known.
+  uint64_t storeEra_ = 0;
   uint64_t configurationRevision_ = 0;
   uint64_t targetsRevision_ = 0;
-  /// Lists that were not taken because they are older than what is known.
-  uint64_t listsRefused_ = 0;
+  /// Answers that were not taken: older than what is known, or of an older era or without one.
+  uint64_t answersBehind_ = 0;
+  uint64_t answersDisregarded_ = 0;
   /// This instance's share of the extra attempts of each pool: earned by a first attempt, and saved at most.
   double extraAttemptsEarned_ = 0;
   double extraAttemptsSaved_ = 0;
--- a/src/process/relay_directory.cpp
+++ b/src/process/relay_directory.cpp
@@ -6,12 +6,16 @@
 namespace ibisrock {
 
 void
-RelayDirectory::Replace(const std::vector<RelaySlot>& aSlots, TimePoint aNow)
+RelayDirectory::Replace(StoreEra aEra, const std::vector<RelaySlot>& aSlots, TimePoint aNow)
 {
+  if (aEra < era_) {
+    return;
+  }
+  era_ = aEra;
   std::map<RelaySlotName, Entry> entries;
   for (const RelaySlot& slot : aSlots) {
     auto known = entries_.find(slot.name_);
-    const bool isUnchanged = known != entries_.end() && known->second.slot_.revision_ == slot.revision_;
+    const bool isUnchanged = known != entries_.end() && known->second.slot_.position_ == slot.position_;
     entries.insert_or_assign(slot.name_, Entry{ slot, isUnchanged ? known->second.changedAt_ : aNow });
   }
   entries_ = std::move(entries);
@@ -41,6 +45,13 @@
   return std::nullopt;
 }
 
+std::optional<RelaySlot>
+RelayDirectory::Find(const RelaySlotName& aName) const
+{
+  auto found = entries_.find(aName);
+  return found == entries_.end() ? std::nullopt : std::optional(found->second.slot_);
+}
+
 std::optional<RelayVacancy>
 RelayDirectory::FindVacancy(const DataCentre& aDataCentre, TimePoint aNow) const
 {
@@ -48,10 +59,10 @@
     const RelaySlotName name(aDataCentre.Value() + '.' + std::to_string(i));
     auto found = entries_.find(name);
     if (found == entries_.end()) {
-      return RelayVacancy{ name, 0 };
+      return RelayVacancy{ name, { era_, StoreRevision() } };
     }
     if (IsExpired(found->second, aNow)) {
-      return RelayVacancy{ name, found->second.slot_.revision_ };
+      return RelayVacancy{ name, found->second.slot_.position_ };
     }
   }
   return std::nullopt;
--- a/src/process/relay_directory.h
+++ b/src/process/relay_directory.h
@@ -3,6 +3,7 @@
 
 #include "base/ids.h"
 #include "base/random.h"
+#include "base/store_position.h"
 #include "base/units.h"
 #include "process/recent_maximum.h"
 
@@ -28,16 +29,17 @@
   /// Requests to these instances.
   PerSecond requestRate_;
   /// Changes with each renewal.
-  uint64_t revision_ = 0;
-  /// Its holder has given it up. Only the name and the revision have a meaning then.
+  StorePosition position_;
+  /// Its holder has given it up. Only the name and the position have a meaning then.
   bool isReleased_ = false;
 };
 
-/// A registration that nobody holds. revision_ is that of the expired registration, or 0 if there was none.
+/// A registration that nobody holds. position_ is that of the expired registration; its revision is none if there was
+/// no registration when the vacancy was read.
 struct RelayVacancy
 {
   RelaySlotName name_;
-  uint64_t revision_ = 0;
+  StorePosition position_;
 
   bool operator==(const RelayVacancy&) const = default;
 };
@@ -62,10 +64,14 @@
   /// callers and use their share of what the fleet may use.
   static constexpr Micros kCountHold = Seconds(600);
 
-  /// Replaces the known registrations.
-  void Replace(const std::vector<RelaySlot>& aSlots, TimePoint aNow);
+  /// Replaces the known registrations by those of a list that was read in aEra, unless a newer era is known.
+  void Replace(StoreEra aEra, const std::vector<RelaySlot>& aSlots, TimePoint aNow);
+  /// Era in which the known registrations were read.
+  StoreEra Era() const { return era_; }
   /// Returns the registration that aInstance holds, expired or not.
   std::optional<RelaySlot> FindHeldBy(const InstanceId& aInstance) const;
+  /// Returns the registration of a name, held or not.
+  std::optional<RelaySlot> Find(const RelaySlotName& aName) const;
   /// Returns a vacant registration of a data centre.
   std::optional<RelayVacancy> FindVacancy(const DataCentre& aDataCentre, TimePoint aNow) const;
   /// Returns the relay to use next: one that is registered and has not failed lately, then one of aDataCentre, then any
@@ -95,6 +101,7 @@
     return aEntry.slot_.isReleased_ || aNow - aEntry.changedAt_ > kExpiry;
   }
 
+  StoreEra era_;
   std::map<RelaySlotName, Entry> entries_;
   std::map<PeerAddress, TimePoint> failedAt_;
   /// Sums over the live registrations at each update.
--- /dev/null
+++ b/src/process/store_eras.h
@@ -0,0 +1,48 @@
+#ifndef IBISROCK_PROCESS_STORE_ERAS_H
+#define IBISROCK_PROCESS_STORE_ERAS_H
+
+#include "base/store_position.h"
+
+#include <functional>
+
+namespace ibisrock {
+
+/// What an answer is worth by the era that it states.
+enum class EraVerdict : uint8_t
+{
+  Current,
+  /// The first answer of a new era.
+  New,
+  /// The answer belongs to an older era, or states none that can be believed, and tells nothing.
+  Disregarded,
+};
+
+/// The newest era of the store that this instance knows, from all answers of the store and of other instances. Not
+/// thread-safe.
+class StoreEras
+{
+public:
+  using OnNew = std::function<void(StoreEra aPrevious)>;
+
+  /// aOnNew is called within Judge() when a new era is known.
+  void SetOnNew(OnNew aOnNew) { onNew_ = std::move(aOnNew); }
+  /// Takes the era that an answer states, or none if it states none that can be read. An era that is not the next one
+  /// is believed when a second answer in a row states it, so that one garbled answer does not outdate all that follow.
+  EraVerdict Judge(StoreEra aStated);
+  StoreEra Newest() const { return newest_; }
+  /// Number of answers that were disregarded.
+  uint64_t Disregarded() const { return disregarded_; }
+
+private:
+  bool IsBelievable(StoreEra aStated) const;
+
+  OnNew onNew_;
+  StoreEra newest_;
+  /// An era that the latest answer stated and that is not believed yet.
+  StoreEra candidate_;
+  uint64_t disregarded_ = 0;
+};
+
+} // namespace ibisrock
+
+#endif
