Write registrations of relays again after the store's return from an older copy

Seen: after the store's return from a copy without their registrations all relays of a data centre got 404 at their next renewal, gave up and searched, and what they had stored of crashing requests was gone. A renewal or a claim could also meet its condition by accident, because the revision had been given out again for the registration of another holder.

Cause: the held registration was known by a revision, which has a meaning only within its era.

The three relays of a fleet write at most twice each within 9 s of the return.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -170,6 +170,9 @@
   impl_->SetGauge("ibisrock_answers_disregarded",
                   "Answers of an older era of the store, or without a readable one once an era is known",
                   toDouble(aState.answersDisregarded_));
+  impl_->SetGauge("ibisrock_registrations_rewritten",
+                  "Times that this relay wrote its registration again after the store's return from an older copy",
+                  toDouble(aState.registrationsRewritten_));
   impl_->SetGauge("ibisrock_extra_attempts_earned",
                   "Extra attempts at a pool that each first attempt there allows this instance",
                   aState.extraAttemptsEarned_);
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -149,6 +149,26 @@
   return holders;
 }
 
+/// Guards against relays that are forgotten, or doubled, when the store returns from a copy without their
+/// registrations, and against a storm of writes.
+TEST(StoreReturnOfRelays, RegistrationsAreWrittenAgain)
+{
+  RelayFleet fleet(8);
+  const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(15));
+  const auto before = Holders(fleet);
+  ASSERT_EQ(before.size(), RelayDirectory::kRelaysPerDataCentre);
+  ReturnFromCopy(fleet, copy);
+  size_t writes = 0;
+  fleet.store_->SetOnWrite([&](const std::string&, json&) { writes++; });
+  EXPECT_TRUE(fleet.AdvanceUntil([&] { return Holders(fleet) == before; }, Seconds(4)));
+  fleet.Advance(Seconds(5));
+  EXPECT_EQ(Holders(fleet), before);
+  EXPECT_LE(writes, 2 * RelayDirectory::kRelaysPerDataCentre);
+  EXPECT_EQ(fleet.Living(Discovery::Source::Store).size(), RelayDirectory::kRelaysPerDataCentre);
+}
+
 /// Guards against two relays with one registration: the copy names a holder that had been replaced since. The living
 /// one gives up, and the registration is free again when the other one does not renew it.
 TEST(StoreReturnOfRelays, EarlierHolderIsNotDoubled)
@@ -171,6 +191,44 @@
   }
 }
 
+/// Guards against a request that crashes targets again after all instances have ended, because what relays had stored
+/// of it was lost by the store.
+TEST(StoreReturnOfRelays, CrashesAreStoredAgain)
+{
+  RelayFleet fleet(4);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(10));
+  const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
+  CallerRequest request;
+  request.method_ = "GET";
+  request.host_ = "h";
+  request.target_ = "/a/x";
+  for (unsigned crash = 0; crash < CrashHistory::kMaxCrashes; crash++) {
+    fleet.Advance(Millis(400));
+    const TimePoint began = fleet.timers_.Now();
+    fleet.Advance(Millis(20));
+    fleet.nodes_[0]->router_->Crashes().OnCrash({ TargetName("t" + std::to_string(crash)),
+                                                  TargetAddress("10.0.0.1:80"),
+                                                  PoolName("s"),
+                                                  std::make_shared<CallerRequest>(request),
+                                                  began },
+                                                fleet.timers_.Now());
+  }
+  fleet.Advance(Seconds(5));
+  ReturnFromCopy(fleet, copy);
+  fleet.Advance(Seconds(4));
+  for (RelayFleet::Node* node : fleet.Living()) {
+    fleet.Kill(*node);
+  }
+  for (const auto& node : fleet.nodes_) {
+    fleet.StartInstance(*node);
+  }
+  const auto isRefused = [&](RelayFleet::Node& aNode) {
+    return aNode.router_->Crashes().Check(request) == CrashPrecaution::Refuse;
+  };
+  EXPECT_TRUE(fleet.AdvanceUntil([&] { return fleet.All(isRefused); }, Seconds(5)));
+}
+
 /// What happens beside the store's return from an older copy.
 struct ReturnBesideCase
 {
@@ -311,6 +369,7 @@
   EXPECT_EQ(fleet.log_.Count("event=store_era_began era=2 previous=1"), 3);
   for (RelayFleet::Node* node : fleet.Living()) {
     EXPECT_EQ(node->discovery_->Era(), StoreEra(2));
+    EXPECT_EQ(node->discovery_->RegistrationsRewritten(), 1U);
   }
 }
 
