Hold back entries of targets that an older copy of the store brings back

Seen: after the store's return from an older copy, targets that had said that they leave, had been removed or had been started again got requests by the entries that they had written before (DRAIN).

Cause: what the store lists was taken as the newest, whatever was known.

Change: entries of one target are ordered by its start time and its count of check-ins, which the copy cannot change. For six seconds after the first list of a new era an entry that is not newer than what was known, also of targets that were removed in the 30 s before, is held back (OlderEntries). Then what still stands is taken: a target that is gone has lapsed by that time, one that checks in without a change has not. Missing targets stay in use for two seconds, as after an outage.

--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -170,6 +170,9 @@
   impl_->SetGauge("ibisrock_answers_disregarded",
                   "Answers of an older era of the store, or without a readable one once an era is known",
                   toDouble(aState.answersDisregarded_));
+  impl_->SetGauge("ibisrock_entries_held_back",
+                  "Entries of targets that are older than what was known before the store's return",
+                  toDouble(aState.entriesHeldBack_));
   impl_->SetGauge("ibisrock_registrations_rewritten",
                   "Times that this relay wrote its registration again after the store's return from an older copy",
                   toDouble(aState.registrationsRewritten_));
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -33,6 +33,8 @@
   /// Answers that were not taken: older than what is known, or of an older era or without one.
   uint64_t answersBehind_ = 0;
   uint64_t answersDisregarded_ = 0;
+  /// Entries of targets that are held back since the store returned from an older copy.
+  size_t entriesHeldBack_ = 0;
   /// Times that the registration was written again after such a return.
   uint64_t registrationsRewritten_ = 0;
   /// This instance's share of the extra attempts of each pool: earned by a first attempt, and saved at most.
--- a/src/process/router.cpp
+++ b/src/process/router.cpp
@@ -90,6 +90,15 @@
   ApplyConnectionLimits();
 }
 
+std::vector<TargetRecord>
+Router::KnownTargets() const
+{
+  std::vector<TargetRecord> records;
+  records.reserve(targets_.Size());
+  targets_.ForEach([&records](const TargetPtr& aTarget) { records.push_back(aTarget->Record()); });
+  return records;
+}
+
 void
 Router::UpsertTarget(const TargetRecord& aRecord)
 {
--- a/src/process/router.h
+++ b/src/process/router.h
@@ -53,6 +53,10 @@
   void ReplaceTargets(const std::vector<TargetRecord>& aRecords, bool aAfterOutage);
   void UpsertTarget(const TargetRecord& aRecord);
   void RemoveTarget(const TargetName& aName) { targets_.Remove(aName); }
+  /// Returns the target, or null.
+  TargetPtr FindTarget(const TargetName& aName) const { return targets_.Find(aName); }
+  /// The records of all known targets.
+  std::vector<TargetRecord> KnownTargets() const;
   size_t TargetCount() const { return targets_.Size(); }
   /// Whether the pool has a target that accepts calls.
   bool HasTargets(const PoolName& aPool) const { return targets_.HasServingTargets(aPool); }
--- a/src/process/target.h
+++ b/src/process/target.h
@@ -24,6 +24,8 @@
   Micros warmUpLeft_{};
   /// Start time in milliseconds since the epoch. A different value means that the target restarted under its name.
   uint64_t startedAt_ = 0;
+  /// Number of check-ins of the target since its start, or 0 if unknown. Orders the entries of one start.
+  uint64_t checkIns_ = 0;
 
   bool operator==(const TargetRecord&) const = default;
 };
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -1,5 +1,6 @@
 #include "relay_fleet.h"
 
+#include <array>
 #include <map>
 
 namespace ibisrock::platform {
@@ -135,6 +136,109 @@
     Seconds(4)));
 }
 
+json
+Started(uint64_t aStartedAt, uint64_t aSequence, const char* aState)
+{
+  json spec = CheckedIn(aSequence, aState);
+  spec["born"] = aStartedAt;
+  return spec;
+}
+
+using StoreStep = void (*)(StoreEmulator&);
+
+/// What a target does around the store's return from a copy that holds it as started at 1000, ready, after five
+/// check-ins; and whether it gets requests one, four and eight seconds after the return.
+struct TargetReturnCase
+{
+  const char* name_;
+  StoreStep beforeCopy_;
+  StoreStep afterCopy_;
+  StoreStep afterReturn_;
+  std::array<bool, 3> isUsed_;
+  uint64_t startedAt_ = 1000;
+};
+
+void
+Nothing(StoreEmulator&)
+{
+}
+
+template<uint64_t StartedAt, uint64_t CheckIns>
+void
+Ready(StoreEmulator& aStore)
+{
+  aStore.Put("servers", "t9", Started(StartedAt, CheckIns, "ready"));
+}
+
+template<uint64_t StartedAt, uint64_t CheckIns>
+void
+Draining(StoreEmulator& aStore)
+{
+  aStore.Put("servers", "t9", Started(StartedAt, CheckIns, "draining"));
+}
+
+void
+Gone(StoreEmulator& aStore)
+{
+  aStore.Delete("servers", "t9");
+}
+
+class TargetAfterStoreReturn : public testing::TestWithParam<TargetReturnCase>
+{};
+
+/// Guards against a target that has left, or was replaced by a later start, and returns through the older copy; and
+/// against one that is dropped because the copy does not have it yet.
+TEST_P(TargetAfterStoreReturn, IsUsedByTheNewestThatIsKnown)
+{
+  const TargetReturnCase& test = GetParam();
+  RelayFleet fleet(5);
+  test.beforeCopy_(*fleet.store_);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
+  test.afterCopy_(*fleet.store_);
+  fleet.Advance(Seconds(5));
+  ReturnFromCopy(fleet, copy);
+  const auto isUsed = [&test](RelayFleet::Node& aNode) {
+    const TargetPtr target = aNode.router_->FindTarget(TargetName("t9"));
+    return target != nullptr && !target->IsLeaving() && target->Record().startedAt_ == test.startedAt_;
+  };
+  fleet.Advance(Seconds(1));
+  EXPECT_TRUE(fleet.All([&](auto& aNode) { return isUsed(aNode) == test.isUsed_[0]; }));
+  test.afterReturn_(*fleet.store_);
+  fleet.Advance(Seconds(3));
+  EXPECT_TRUE(fleet.All([&](auto& aNode) { return isUsed(aNode) == test.isUsed_[1]; }));
+  fleet.Advance(Seconds(4));
+  EXPECT_TRUE(fleet.All([&](auto& aNode) { return isUsed(aNode) == test.isUsed_[2]; }));
+  // The other targets are never lost.
+  EXPECT_TRUE(fleet.All([](auto& aNode) { return aNode.router_->TargetCount() >= 2; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Store,
+  TargetAfterStoreReturn,
+  testing::Values(
+    TargetReturnCase{ "Unchanged", &Ready<1000, 5>, &Nothing, &Nothing, { true, true, true } },
+    TargetReturnCase{ "LeftBefore", &Ready<1000, 5>, &Draining<1000, 9>, &Draining<1000, 12>, { false, false, false } },
+    TargetReturnCase{ "LeftAndLapses", &Ready<1000, 5>, &Draining<1000, 9>, &Gone, { false, false, false } },
+    TargetReturnCase{ "LeftAndServesAgain",
+                      &Ready<1000, 5>,
+                      &Draining<1000, 9>,
+                      &Ready<1000, 12>,
+                      { false, true, true } },
+    TargetReturnCase{ "RemovedAndLapses", &Ready<1000, 5>, &Gone, &Gone, { false, false, false } },
+    TargetReturnCase{ "RemovedAndChecksIn", &Ready<1000, 5>, &Gone, &Ready<1000, 12>, { false, true, true } },
+    TargetReturnCase{ "RemovedAndStandsStill", &Ready<1000, 5>, &Gone, &Nothing, { false, false, true } },
+    TargetReturnCase{ "StartedAgain", &Ready<1000, 5>, &Ready<2000, 1>, &Ready<2000, 2>, { true, true, true }, 2000 },
+    TargetReturnCase{ "StartedAgainAndLeft",
+                      &Ready<1000, 5>,
+                      &Draining<2000, 1>,
+                      &Draining<2000, 2>,
+                      { false, false, false } },
+    TargetReturnCase{ "NotInTheCopy", &Nothing, &Ready<1000, 5>, &Ready<1000, 6>, { true, true, true } },
+    TargetReturnCase{ "NotInTheCopyAndGone", &Nothing, &Ready<1000, 5>, &Nothing, { true, false, false } }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 /// The instances that hold a registration in the store, with the names of the registrations.
 std::map<std::string, std::string>
 Holders(const RelayFleet& aFleet)
@@ -367,6 +471,7 @@
   ReturnFromCopy(fleet, fleet.store_->TakeCopy());
   fleet.Advance(Seconds(8));
   EXPECT_EQ(fleet.log_.Count("event=store_era_began era=2 previous=1"), 3);
+  EXPECT_EQ(fleet.log_.Count("event=older_entries_taken"), 3);
   for (RelayFleet::Node* node : fleet.Living()) {
     EXPECT_EQ(node->discovery_->Era(), StoreEra(2));
     EXPECT_EQ(node->discovery_->RegistrationsRewritten(), 1U);
