Test a slow store that returns from older copies in series

Guards against a search for a source that is left without a next step, because the registration lists on the same channel.

--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -403,6 +403,17 @@
   }
 }
 
+void
+ReturnOfASlowStore(RelayFleet& aFleet, const StoreEmulator::Copy& aCopy)
+{
+  aFleet.store_->SetDelay(Millis(500));
+  for (int i = 0; i < 4; i++) {
+    Return(aFleet, aCopy);
+    aFleet.Advance(Millis(2600));
+  }
+  aFleet.store_->SetDelay(Millis(1));
+}
+
 void
 ReturnWhileEraIsGarbled(RelayFleet& aFleet, const StoreEmulator::Copy& aCopy)
 {
@@ -458,6 +469,7 @@
                                          ReturnBesideCase{ "WhileRestarting", &ReturnWhileRestarting },
                                          ReturnBesideCase{ "WhileOneRelayIsCutOff", &ReturnWhileOneRelayIsCutOff },
                                          ReturnBesideCase{ "WhileAllButOneAreCutOff", &ReturnWhileAllButOneAreCutOff },
+                                         ReturnBesideCase{ "OfASlowStore", &ReturnOfASlowStore },
                                          ReturnBesideCase{ "WhileEraIsGarbled", &ReturnWhileEraIsGarbled }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
