Let the first era of all give way until a second answer confirms it

Seen by reading: a garbled era in the very first answer of the store to a started instance outdated all answers that followed, until the next restart.

Evidence: EraRule/FirstAnswerGarbled and /FirstAnswerDelayed fail without the change; 141 tests of eras, relays and the store's return pass.

--- a/src/process/relay_directory.cpp
+++ b/src/process/relay_directory.cpp
@@ -8,9 +8,6 @@
 void
 RelayDirectory::Replace(StoreEra aEra, const std::vector<RelaySlot>& aSlots, TimePoint aNow)
 {
-  if (aEra < era_) {
-    return;
-  }
   era_ = aEra;
   std::map<RelaySlotName, Entry> entries;
   for (const RelaySlot& slot : aSlots) {
--- a/src/process/relay_directory.h
+++ b/src/process/relay_directory.h
@@ -64,7 +64,7 @@
   /// callers and use their share of what the fleet may use.
   static constexpr Micros kCountHold = Seconds(600);
 
-  /// Replaces the known registrations by those of a list that was read in aEra, unless a newer era is known.
+  /// Replaces the known registrations by those of a list that was read in aEra.
   void Replace(StoreEra aEra, const std::vector<RelaySlot>& aSlots, TimePoint aNow);
   /// Era in which the known registrations were read.
   StoreEra Era() const { return era_; }
--- a/src/process/store_eras.cpp
+++ b/src/process/store_eras.cpp
@@ -9,6 +9,7 @@
 {
   if (aStated == newest_) {
     candidate_ = {};
+    isConfirmed_ = true;
     return EraVerdict::Current;
   }
   if (!IsBelievable(aStated)) {
@@ -18,6 +19,7 @@
   }
   candidate_ = {};
   const StoreEra previous = std::exchange(newest_, aStated);
+  isConfirmed_ = !previous.IsNone() && newest_ > previous;
   if (onNew_) {
     onNew_(previous);
   }
@@ -27,7 +29,11 @@
 bool
 StoreEras::IsBelievable(StoreEra aStated) const
 {
-  return aStated > newest_ && (newest_.IsNone() || aStated == newest_.Next() || aStated == candidate_);
+  if (aStated.IsNone()) {
+    return false;
+  }
+  const bool isExpected = newest_.IsNone() || aStated == newest_.Next() || aStated == candidate_;
+  return !isConfirmed_ || (aStated > newest_ && isExpected);
 }
 
 } // namespace ibisrock
--- a/src/process/store_eras.h
+++ b/src/process/store_eras.h
@@ -26,8 +26,9 @@
 
   /// aOnNew is called within Judge() when a new era is known.
   void SetOnNew(OnNew aOnNew) { onNew_ = std::move(aOnNew); }
-  /// Takes the era that an answer states, or none if it states none that can be read. An era that is not the next one
-  /// is believed when a second answer in a row states it, so that one garbled answer does not outdate all that follow.
+  /// Takes the era that an answer states, or none if it states none that can be read. One garbled answer must not outdate
+  /// all that follow: an era that is not the next one is believed when a second answer in a row states it, and the very
+  /// first one gives way to any other until a second answer confirms it.
   EraVerdict Judge(StoreEra aStated);
   StoreEra Newest() const { return newest_; }
   /// Number of answers that were disregarded.
@@ -38,6 +39,8 @@
 
   OnNew onNew_;
   StoreEra newest_;
+  /// Whether newest_ follows from more than the first answer of all.
+  bool isConfirmed_ = false;
   /// An era that the latest answer stated and that is not believed yet.
   StoreEra candidate_;
   uint64_t disregarded_ = 0;
