Give missing targets their full time after each return of the store

Seen by reading, then by a test: a target that was missing after two outages within two seconds was removed by the deadline of the first one, although it had registered in between, or had not had the time to register after the second return.

Cause: the deadline was not cancelled when a target registered again, and a return from an older copy did not begin a new one.

--- a/src/process/router.h
+++ b/src/process/router.h
@@ -51,6 +51,7 @@
 
   /// Update the known targets. Pending calls are retried after ReplaceTargets and UpsertTarget.
   void ReplaceTargets(const std::vector<TargetRecord>& aRecords, bool aAfterOutage);
+  void RestartTargetRetention() { targets_.RestartRetention(); }
   void UpsertTarget(const TargetRecord& aRecord);
   void RemoveTarget(const TargetName& aName) { targets_.Remove(aName); }
   /// Returns the target, or null.
--- a/src/process/target_directory.cpp
+++ b/src/process/target_directory.cpp
@@ -32,6 +32,11 @@
 {
 }
 
+TargetDirectory::~TargetDirectory()
+{
+  RestartRetention();
+}
+
 void
 TargetDirectory::Replace(const std::vector<TargetRecord>& aRecords, bool aAfterOutage)
 {
@@ -59,21 +64,33 @@
 void
 TargetDirectory::Retain(const TargetName& aName)
 {
-  if (!retained_.insert(aName).second) {
-    return;
+  if (!retained_.contains(aName)) {
+    retained_[aName] = timers_.After(kMissingTargetRetention, [this, aName] { Remove(aName); });
   }
-  timers_.After(kMissingTargetRetention, [this, aName] {
-    if (retained_.contains(aName)) {
-      Remove(aName);
-    }
-  });
+}
+
+void
+TargetDirectory::EndRetention(const TargetName& aName)
+{
+  if (const auto node = retained_.extract(aName)) {
+    timers_.Cancel(node.mapped());
+  }
+}
+
+void
+TargetDirectory::RestartRetention()
+{
+  for (const auto& [name, timer] : retained_) {
+    timers_.Cancel(timer);
+  }
+  retained_.clear();
 }
 
 /// After an outage it is not known for how long a target has been leaving already.
 void
 TargetDirectory::Upsert(const TargetRecord& aRecord, bool aAfterOutage)
 {
-  retained_.erase(aRecord.name_);
+  EndRetention(aRecord.name_);
   notices_.OnRecord(aRecord);
   auto found = byName_.find(aRecord.name_);
   if (found == byName_.end()) {
@@ -96,7 +113,7 @@
 void
 TargetDirectory::Remove(const TargetName& aName)
 {
-  retained_.erase(aName);
+  EndRetention(aName);
   auto found = byName_.find(aName);
   if (found == byName_.end()) {
     return;
--- a/src/process/target_directory.h
+++ b/src/process/target_directory.h
@@ -27,9 +27,12 @@
 
   /// aLeavingUse is the time for which a target is used after it was seen to leave.
   TargetDirectory(TimerService& aTimers, Micros aLeavingUse, OnRemovedOrRestarted aOnRemovedOrRestarted);
+  ~TargetDirectory();
 
   /// Replaces the full list. After a discovery outage, missing targets are kept for kMissingTargetRetention.
   void Replace(const std::vector<TargetRecord>& aRecords, bool aAfterOutage);
+  /// Another outage has begun: targets that are missing since the latest one get the full time from the next list on.
+  void RestartRetention();
   void Upsert(const TargetRecord& aRecord) { Upsert(aRecord, false); }
   void Remove(const TargetName& aName);
 
@@ -62,6 +65,7 @@
 
   void Upsert(const TargetRecord& aRecord, bool aAfterOutage);
   void Retain(const TargetName& aName);
+  void EndRetention(const TargetName& aName);
   void AddToPool(const TargetPtr& aTarget, bool aWasServing);
   bool RemoveFromPool(const TargetPtr& aTarget);
   void ApplyNotices(const TargetPtr& aTarget);
@@ -72,8 +76,8 @@
   TargetNotices notices_;
   std::unordered_map<TargetName, TargetPtr> byName_;
   std::unordered_map<PoolName, PoolTargets> byPool_;
-  /// Targets that were missing after a discovery outage and have not registered again.
-  std::unordered_set<TargetName> retained_;
+  /// Targets that were missing after a discovery outage and have not registered again, and when they are removed.
+  std::unordered_map<TargetName, TimerId> retained_;
 };
 
 } // namespace ibisrock
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -239,6 +239,28 @@
     TargetReturnCase{ "NotInTheCopyAndGone", &Nothing, &Ready<1000, 5>, &Nothing, { true, false, false } }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+/// Guards against targets that are dropped because the store returns from an older copy once more before they have had
+/// the time to write their entries again.
+TEST(StoreReturnOfRelays, SecondReturnGivesMissingTargetsTheirTimeAgain)
+{
+  RelayFleet fleet(5);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
+  Ready<1000, 5>(*fleet.store_);
+  fleet.Advance(Seconds(5));
+  const auto isKnown = [](RelayFleet::Node& aNode) { return aNode.router_->TargetCount() == 3; };
+  ASSERT_TRUE(fleet.All(isKnown));
+  ReturnFromCopy(fleet, copy);
+  fleet.Advance(Millis(500));
+  ReturnFromCopy(fleet, copy);
+  fleet.Advance(Millis(1600));
+  EXPECT_TRUE(fleet.All(isKnown));
+  Ready<1000, 6>(*fleet.store_);
+  fleet.Advance(Seconds(5));
+  EXPECT_TRUE(fleet.All(isKnown));
+}
+
 /// The instances that hold a registration in the store, with the names of the registrations.
 std::map<std::string, std::string>
 Holders(const RelayFleet& aFleet)
