Test that the checker keeps what the store confirmed before it returned

Cause: a store that returns from an older copy has lost what it had confirmed, and gets it again from the operator and the targets.

Change: tests of the checker of the soak: a leaving that was confirmed before the store went away counts from then, also when the target writes it again; one that was first confirmed while the store was disturbed never counts; a stale route counts again once the store has been back for the stable window.

--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -58,6 +58,23 @@
   aFixture.Arrive();
 }
 
+/// The store is away for a second; a second later a target that leaves has written so again.
+void
+ReturnStore(CheckerFixture& aFixture)
+{
+  aFixture.checker_.OnStoreDisturbed(Seconds(1));
+  aFixture.timers_.Advance(Seconds(2));
+  aFixture.checker_.OnStateStored(kTarget, true);
+}
+
+/// What the store has confirmed before it went away stays confirmed.
+void
+LeaveAndReturnStore(CheckerFixture& aFixture)
+{
+  aFixture.checker_.OnStateStored(kTarget, true);
+  ReturnStore(aFixture);
+}
+
 /// Sends 100 requests, of which each arrives aArrivals times, over 5 s.
 void
 SendMany(CheckerFixture& aFixture, size_t aArrivals)
@@ -134,6 +151,48 @@
                    LeaveAndArrive(aFixture, Seconds(20));
                  },
                  0 },
+    CheckedCase{ "DrainBeforeTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   LeaveAndReturnStore(aFixture);
+                   aFixture.timers_.Advance(Millis(3100));
+                   aFixture.Send();
+                   aFixture.Arrive();
+                 },
+                 1 },
+    CheckedCase{ "DrainSoonAfterTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   LeaveAndReturnStore(aFixture);
+                   aFixture.timers_.Advance(Millis(2900));
+                   aFixture.Send();
+                   aFixture.Arrive();
+                 },
+                 0 },
+    CheckedCase{ "DrainSoonAfterTheStoresReturnUntilLate",
+                 [](CheckerFixture& aFixture) {
+                   LeaveAndReturnStore(aFixture);
+                   aFixture.timers_.Advance(Millis(2900));
+                   aFixture.Send();
+                   aFixture.timers_.Advance(Millis(200));
+                   aFixture.Arrive();
+                 },
+                 0 },
+    CheckedCase{ "DrainOnlyConfirmedSoonAfterTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStoreDisturbed(Seconds(1));
+                   aFixture.checker_.OnStateStored(kTarget, true);
+                   ReturnStore(aFixture);
+                   aFixture.timers_.Advance(Seconds(10));
+                   aFixture.Send();
+                   aFixture.Arrive();
+                 },
+                 0 },
+    CheckedCase{ "DrainLongAfterTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStoreDisturbed(Seconds(1));
+                   aFixture.timers_.Advance(Millis(5100));
+                   LeaveAndArrive(aFixture, Millis(3100));
+                 },
+                 1 },
     CheckedCase{ "ThreeLateRetriesOfACrashingRequest",
                  [](CheckerFixture& aFixture) { CrashAndArrive(aFixture, 3, Millis(4100), 3); },
                  0 },
@@ -222,6 +281,20 @@
                    aFixture.checker_.OnStaleRoute(0, "route", Millis(3100));
                  },
                  1 },
+    CheckedCase{ "ConfigSoonAfterTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStoreDisturbed(Seconds(1));
+                   aFixture.timers_.Advance(Millis(4900));
+                   aFixture.checker_.OnStaleRoute(0, "route", Millis(5000));
+                 },
+                 0 },
+    CheckedCase{ "ConfigLongAfterTheStoresReturn",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStoreDisturbed(Seconds(1));
+                   aFixture.timers_.Advance(Millis(5100));
+                   aFixture.checker_.OnStaleRoute(0, "route", Millis(5200));
+                 },
+                 1 },
     CheckedCase{ "ConfigWhileAnotherIsCutOff",
                  [](CheckerFixture& aFixture) {
                    aFixture.checker_.OnInstanceCutOff(2, Seconds(10));
