Test a watch from before the copy, and a leaving that is written again

Cause: two faults that were put into the emulated store and the checker as a trial went unnoticed by their tests: a store that serves watches from before the copy that it returned from although that history is lost, and a leaving that counts from the latest time at which it was written.

Change: one more case of EraInAnswers and of CheckedRule.

--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -186,6 +186,13 @@
                    aFixture.Arrive();
                  },
                  0 },
+    CheckedCase{ "DrainWrittenAgainInTheCalm",
+                 [](CheckerFixture& aFixture) {
+                   aFixture.checker_.OnStateStored(kTarget, true);
+                   aFixture.timers_.Advance(Seconds(2));
+                   LeaveAndArrive(aFixture, Millis(1100));
+                 },
+                 1 },
     CheckedCase{ "DrainLongAfterTheStoresReturn",
                  [](CheckerFixture& aFixture) {
                    aFixture.checker_.OnStoreDisturbed(Seconds(1));
--- a/tests/store_emulator_test.cpp
+++ b/tests/store_emulator_test.cpp
@@ -124,6 +124,7 @@
     EraCase{ "Object", "GET", "config/main", "", StoreMode::Up, 200 },
     EraCase{ "EmptyWatch", "GET", "config?watch=101&waitMs=1", "", StoreMode::Up, 200 },
     EraCase{ "WatchAhead", "GET", "config?watch=102&waitMs=1000", "", StoreMode::Up, 410 },
+    EraCase{ "WatchFromBeforeTheCopy", "GET", "config?watch=100&waitMs=1000", "", StoreMode::Up, 410 },
     EraCase{ "NoObject", "GET", "servers/later", "", StoreMode::Up, 404 },
     EraCase{ "ObjectExists", "POST", "config", R"({"meta":{"name":"main"},"spec":{}})", StoreMode::Up, 409 },
     EraCase{ "OtherRevision", "PUT", "config/main?revision=102", R"({"meta":{},"spec":{}})", StoreMode::Up, 409 },
