Take from held entries only what the newest list and event of a target say

Cause: an entry that was held back stayed so when the target's known entry was written again, or when a later list no longer had it, and was taken in the end.

Evidence: TargetAfterStoreReturn/LeftAndWritesTheSame and /LapsesFromTheList, OlderEntries.EntryWrittenAgainUnchangedEndsTheHold and .LaterListReplacesWhatIsHeldBack fail without the change and pass with it.

--- a/src/process/older_entries.cpp
+++ b/src/process/older_entries.cpp
@@ -77,6 +77,7 @@
   }
   const KnownTarget& target = known->second;
   if (!target.isGone_ && SaysTheSame(aEntry, target.record_)) {
+    heldBack_.erase(aEntry.name_);
     return target.record_;
   }
   heldBack_.insert_or_assign(aEntry.name_, aEntry);
--- a/src/process/older_entries.h
+++ b/src/process/older_entries.h
@@ -25,6 +25,8 @@
   void OnRemoved(const TargetRecord& aTarget, TimePoint aNow);
   /// The entries that follow come from an older copy. aKnown is what was known of the targets until now.
   void Begin(const std::vector<TargetRecord>& aKnown, TimePoint aNow);
+  /// A whole list follows. Only what it holds may be held back from now on.
+  void BeginList() { heldBack_.clear(); }
   /// Returns what holds of the target of an entry: the entry, what was known if the entry is not newer, or no value if
   /// the target was gone by then.
   std::optional<TargetRecord> Resolve(const TargetRecord& aEntry, TimePoint aNow);
--- a/tests/older_entries_test.cpp
+++ b/tests/older_entries_test.cpp
@@ -112,6 +112,30 @@
   EXPECT_TRUE(entries.End().empty());
 }
 
+/// Guards against an entry that is held back, was written again as it was known since, and is overridden by the older
+/// one.
+TEST(OlderEntries, EntryWrittenAgainUnchangedEndsTheHold)
+{
+  OlderEntries entries;
+  entries.Begin({ Record({ 1000, 9, true }) }, kReturn);
+  entries.Resolve(Record({ 1000, 5 }), kReturn);
+  ASSERT_EQ(entries.HeldBack(), 1U);
+  EXPECT_EQ(entries.Resolve(Record({ 1000, 9, true }), kReturn), Record({ 1000, 9, true }));
+  EXPECT_TRUE(entries.End().empty());
+}
+
+/// Guards against an entry that is held back and taken in the end, although a later list no longer has it.
+TEST(OlderEntries, LaterListReplacesWhatIsHeldBack)
+{
+  OlderEntries entries;
+  entries.OnRemoved(Record({ 1000, 9 }), kReturn);
+  entries.Begin({}, kReturn);
+  entries.BeginList();
+  ASSERT_EQ(entries.Resolve(Record({ 1000, 5 }), kReturn), std::nullopt);
+  entries.BeginList();
+  EXPECT_TRUE(entries.End().empty());
+}
+
 /// Guards against entries that are held back while nothing is known of a return.
 TEST(OlderEntries, NothingIsHeldBackBeforeAReturn)
 {
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -183,6 +183,16 @@
   aStore.Delete("servers", "t9");
 }
 
+/// The entry lapses while nobody is told of it.
+void
+GoneFromTheList(StoreEmulator& aStore)
+{
+  aStore.SetMode(StoreMode::Unavailable);
+  aStore.Delete("servers", "t9");
+  aStore.Compact();
+  aStore.SetMode(StoreMode::Up);
+}
+
 class TargetAfterStoreReturn : public testing::TestWithParam<TargetReturnCase>
 {};
 
@@ -227,6 +237,13 @@
                       &Ready<1000, 12>,
                       { false, true, true } },
     TargetReturnCase{ "RemovedAndLapses", &Ready<1000, 5>, &Gone, &Gone, { false, false, false } },
+    TargetReturnCase{ "LeftAndWritesTheSame",
+                      &Ready<1000, 5>,
+                      &Draining<1000, 9>,
+                      &Draining<1000, 9>,
+                      { false, false, false } },
+    TargetReturnCase{ "RemovedByAList", &Ready<1000, 5>, &GoneFromTheList, &Gone, { false, false, false } },
+    TargetReturnCase{ "LapsesFromTheList", &Ready<1000, 5>, &Gone, &GoneFromTheList, { false, false, false } },
     TargetReturnCase{ "RemovedAndChecksIn", &Ready<1000, 5>, &Gone, &Ready<1000, 12>, { false, true, true } },
     TargetReturnCase{ "RemovedAndStandsStill", &Ready<1000, 5>, &Gone, &Nothing, { false, false, true } },
     TargetReturnCase{ "StartedAgain", &Ready<1000, 5>, &Ready<2000, 1>, &Ready<2000, 2>, { true, true, true }, 2000 },
@@ -261,6 +278,31 @@
   EXPECT_TRUE(fleet.All(isKnown));
 }
 
+/// Guards against targets that are dropped at once because the copy does not have them, when the store was not away for
+/// long enough to be missed.
+TEST(StoreReturnOfRelays, MissingTargetsStayInUseWithoutAnOutage)
+{
+  RelayFleet fleet(5);
+  ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
+  fleet.Advance(Seconds(5));
+  const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
+  Ready<1000, 5>(*fleet.store_);
+  fleet.Advance(Seconds(5));
+  fleet.log_.lines_.clear();
+  fleet.store_->ReturnFrom(copy);
+  const auto knows = [&](size_t aTargets) {
+    return fleet.All([aTargets](auto& aNode) {
+      return aNode.discovery_->TargetsPosition().era_ == StoreEra(2) && aNode.router_->TargetCount() == aTargets;
+    });
+  };
+  EXPECT_TRUE(fleet.AdvanceUntil([&] { return knows(3); }, Seconds(1)));
+  fleet.Advance(Millis(800));
+  EXPECT_TRUE(knows(3));
+  EXPECT_EQ(fleet.log_.Count("event=store_lost"), 0);
+  fleet.Advance(Seconds(2));
+  EXPECT_TRUE(knows(2));
+}
+
 /// The instances that hold a registration in the store, with the names of the registrations.
 std::map<std::string, std::string>
 Holders(const RelayFleet& aFleet)
