Read the own registration by itself in a new era

Cause: the position was taken from the list of all registrations, which the search uses, too, and which may be stale.

Change: the registration is read by its name, on its own channel and not from a stale copy, also during a search.

--- a/src/process/relay_directory.cpp
+++ b/src/process/relay_directory.cpp
@@ -42,13 +42,6 @@
   return std::nullopt;
 }
 
-std::optional<RelaySlot>
-RelayDirectory::Find(const RelaySlotName& aName) const
-{
-  auto found = entries_.find(aName);
-  return found == entries_.end() ? std::nullopt : std::optional(found->second.slot_);
-}
-
 std::optional<RelayVacancy>
 RelayDirectory::FindVacancy(const DataCentre& aDataCentre, TimePoint aNow) const
 {
--- a/src/process/relay_directory.h
+++ b/src/process/relay_directory.h
@@ -70,8 +70,6 @@
   StoreEra Era() const { return era_; }
   /// Returns the registration that aInstance holds, expired or not.
   std::optional<RelaySlot> FindHeldBy(const InstanceId& aInstance) const;
-  /// Returns the registration of a name, held or not.
-  std::optional<RelaySlot> Find(const RelaySlotName& aName) const;
   /// Returns a vacant registration of a data centre.
   std::optional<RelayVacancy> FindVacancy(const DataCentre& aDataCentre, TimePoint aNow) const;
   /// Returns the relay to use next: one that is registered and has not failed lately, then one of aDataCentre, then any
--- a/tests/relay_registration_test.cpp
+++ b/tests/relay_registration_test.cpp
@@ -6,6 +6,8 @@
 namespace ibisrock::platform {
 namespace {
 
+using nlohmann::json;
+
 const RelaySlotName kName("z.0");
 
 /// A registration, the emulated store and a clock that the test advances.
@@ -97,56 +99,67 @@
   EXPECT_EQ(fixture.store_->CallCount(), calls);
 }
 
-/// What the list of a new era shows of the held registration, and who holds it afterwards.
+/// Guards against a planned stop that deletes the registration of another holder, whose revision is the same in the new
+/// era.
+TEST(RelayRegistration, ReleaseInAnotherEraWritesNothing)
+{
+  RegistrationFixture fixture;
+  ASSERT_TRUE(fixture.Claim({ StoreEra(), StoreRevision() }));
+  fixture.eras_.Judge(StoreEra(2));
+  const uint64_t calls = fixture.store_->CallCount();
+  fixture.registration_->Release();
+  fixture.Advance(Millis(200));
+  EXPECT_EQ(fixture.store_->CallCount(), calls);
+  EXPECT_FALSE(fixture.registration_->IsHeld());
+}
+
+/// What the store has of the held registration after its return, and who holds it afterwards.
 struct ReadoptionCase
 {
   const char* name_;
-  std::optional<RelaySlot> listed_;
-  bool isHeld_;
+  json spec_;
+  const char* holder_;
 };
 
-RelaySlot
-HeldBy(const char* aInstance, bool aIsReleased = false)
+json
+HeldBy(const char* aInstance)
 {
-  return { kName,
-           InstanceId(aInstance),
-           PeerAddress("127.0.0.1:1"),
-           DataCentre("z"),
-           1,
-           {},
-           { StoreEra(2), StoreRevision(101) },
-           aIsReleased };
+  return RelayRegistration::Encode(
+    { kName, InstanceId(aInstance), PeerAddress("127.0.0.1:1"), DataCentre("z"), 1, {}, {} })["spec"];
 }
 
 class Readoption : public testing::TestWithParam<ReadoptionCase>
 {};
 
 /// Guards against a registration that is lost, doubled or written over after the store's return from an older copy.
-TEST_P(Readoption, FollowsTheListOfTheNewEra)
+TEST_P(Readoption, FollowsWhatTheStoreHas)
 {
+  const ReadoptionCase& test = GetParam();
   RegistrationFixture fixture;
   const StoreEmulator::Copy copy = fixture.store_->TakeCopy();
   ASSERT_TRUE(fixture.Claim({ StoreEra(), StoreRevision() }));
   fixture.store_->ReturnFrom(copy);
-  if (GetParam().listed_) {
-    fixture.store_->Put(
-      RelayRegistration::kKind, kName.Value(), { { "instance", GetParam().listed_->instance_.Value() } });
+  if (!test.spec_.is_null()) {
+    fixture.store_->Put(RelayRegistration::kKind, kName.Value(), test.spec_);
   }
   fixture.eras_.Judge(StoreEra(2));
   ASSERT_TRUE(fixture.registration_->IsOutdated());
-  fixture.registration_->Readopt(StoreEra(2), GetParam().listed_);
-  EXPECT_EQ(fixture.registration_->IsHeld(), GetParam().isHeld_);
+  bool isRead = false;
+  fixture.registration_->Readopt([&] { isRead = true; });
+  fixture.Advance(Millis(200));
+  EXPECT_TRUE(isRead);
   fixture.Renew();
-  EXPECT_EQ(fixture.registration_->IsHeld(), GetParam().isHeld_);
-  EXPECT_EQ(fixture.Holder(), GetParam().isHeld_ ? "self" : "other");
+  EXPECT_EQ(fixture.registration_->IsHeld(), std::string(test.holder_) == "self");
+  EXPECT_EQ(fixture.Holder(), test.holder_);
 }
 
 INSTANTIATE_TEST_SUITE_P(RelayRegistration,
                          Readoption,
-                         testing::Values(ReadoptionCase{ "Missing", std::nullopt, true },
-                                         ReadoptionCase{ "OwnFromTheCopy", HeldBy("self"), true },
-                                         ReadoptionCase{ "Released", HeldBy("", true), true },
-                                         ReadoptionCase{ "OfAnotherHolder", HeldBy("other"), false }),
+                         testing::Values(ReadoptionCase{ "Missing", json(), "self" },
+                                         ReadoptionCase{ "OwnFromTheCopy", HeldBy("self"), "self" },
+                                         ReadoptionCase{ "Released", { { "released", true } }, "self" },
+                                         ReadoptionCase{ "OddEntry", { { "instance", 5 } }, "self" },
+                                         ReadoptionCase{ "OfAnotherHolder", HeldBy("other"), "other" }),
                          [](const auto& aInfo) { return aInfo.param.name_; });
 
 } // namespace
