--- a/src/process/store_eras.h
+++ b/src/process/store_eras.h
@@ -26,9 +26,9 @@
 
   /// aOnNew is called within Judge() when a new era is known.
   void SetOnNew(OnNew aOnNew) { onNew_ = std::move(aOnNew); }
-  /// Takes the era that an answer states, or none if it states none that can be read. One garbled answer must not outdate
-  /// all that follow: an era that is not the next one is believed when a second answer in a row states it, and the very
-  /// first one gives way to any other until a second answer confirms it.
+  /// Takes the era that an answer states, or none if it states none that can be read. One garbled answer must not
+  /// outdate all that follow: an era that is not the next one is believed when a second answer in a row states it, and
+  /// the very first one gives way to any other until a second answer confirms it.
   EraVerdict Judge(StoreEra aStated);
   StoreEra Newest() const { return newest_; }
   /// Number of answers that were disregarded.
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -554,9 +554,9 @@
   }
 }
 
-/// Guards against a source that answers with less than is known, and leaves no trace of it: a list that is not taken
-/// shows in the log, in a counter and in the age of what is known.
-TEST(Discovery, RefusedListsLeaveATrace)
+/// Guards against a source that answers with less than is known, and counts as contact: a list that is not taken shows
+/// in the log, in a counter and in the age of what is known, and contact is lost when it stays so.
+TEST(Discovery, RefusedListsAreNoContact)
 {
   RelayFleet fleet(1);
   RelayFleet::Node& instance = *fleet.nodes_[0];
@@ -564,9 +564,15 @@
   ASSERT_TRUE(fleet.AdvanceUntil([&] { return fleet.AllReady(); }, Seconds(5)));
   const StoreEmulator::Copy copy = fleet.store_->TakeCopy();
   fleet.store_->Put("config", "main", Configuration(2));
+  for (unsigned i = 0; i < 100; i++) {
+    WriteNote(fleet);
+  }
   fleet.Advance(Seconds(5));
   fleet.store_->ReturnFrom(copy);
-  fleet.Advance(Seconds(5));
+  // Two watches and the pause between them.
+  fleet.Advance(Seconds(15));
+  EXPECT_FALSE(instance.discovery_->IsInContact());
+  EXPECT_FALSE(instance.discovery_->IsCurrentRelay());
   EXPECT_GT(fleet.log_.Count("event=source_behind kind=config source=store stated=0/"), 0);
   EXPECT_GT(instance.discovery_->AnswersBehind(), 0U);
   EXPECT_GT(instance.discovery_->ConfigurationAge(), Seconds(4));
