Take the time of held entries from the targets' check-ins

Seen by reading (review): entries of an older copy were held back for six seconds, whatever the time between two check-ins. With check-ins each two seconds or more, a target that is gone has not lapsed by then and would have been used again.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -101,7 +101,7 @@
   return true;
 }
 
-constexpr std::array<SettingSpec, 13> kSettingSpecs{ {
+constexpr std::array<SettingSpec, 14> kSettingSpecs{ {
   { "instance",
     "",
     "name of this instance; must be unique among live instances",
@@ -153,6 +153,15 @@
     nullptr,
     0.5,
     600 },
+  { "check-in-time",
+    "1200ms",
+    "time between two check-ins of a target in the store",
+    ParseDuration,
+    nullptr,
+    &EntrySettings::checkInTime_,
+    nullptr,
+    0.1,
+    60 },
   { "extra-share",
     "0.2",
     "maximum share of the requests to a pool that may be sent again, across all instances",
--- a/src/entry/entry_settings.h
+++ b/src/entry/entry_settings.h
@@ -27,6 +27,8 @@
   Micros applyTime_{};
   /// Time within which a leaving target must stop receiving requests.
   Micros leaveTime_{};
+  /// Time between two check-ins of a target in the store.
+  Micros checkInTime_{};
   double extraShare_ = 0;
   double extraSlack_ = 0;
 };
--- a/src/process/older_entries.h
+++ b/src/process/older_entries.h
@@ -16,8 +16,6 @@
 class OlderEntries
 {
 public:
-  /// Time for which entries are held back. A target that is gone lapses after three check-ins, of 1.2 s each as a rule.
-  static constexpr Micros kHoldTime = Seconds(6);
   /// Time for which a removed target is remembered. Copies are some seconds old.
   static constexpr Micros kRemovalMemory = Seconds(30);
 
