Believe an era that passed several others in spite of relays that lag behind

Cause: an era that is not the next one was believed after a second answer in a row. Instances that search ask the store and relays in turn, and each relay still stated the old era in between, so that the count began anew.

Change: an answer of a relay contradicts nothing; only the store resets what was stated once.

--- a/src/process/store_eras.cpp
+++ b/src/process/store_eras.cpp
@@ -5,15 +5,20 @@
 namespace ibisrock {
 
 EraVerdict
-StoreEras::Judge(StoreEra aStated)
+StoreEras::Judge(StoreEra aStated, EraSource aSource)
 {
   if (aStated == newest_) {
-    candidate_ = {};
+    // A relay that has not heard of a newer era contradicts nothing.
+    if (aSource == EraSource::Store) {
+      candidate_ = {};
+    }
     isConfirmed_ = true;
     return EraVerdict::Current;
   }
   if (!IsBelievable(aStated)) {
-    candidate_ = aStated > newest_ ? aStated : StoreEra();
+    if (aStated > newest_ || aSource == EraSource::Store) {
+      candidate_ = aStated > newest_ ? aStated : StoreEra();
+    }
     disregarded_++;
     return EraVerdict::Disregarded;
   }
--- a/src/process/store_eras.h
+++ b/src/process/store_eras.h
@@ -17,6 +17,14 @@
   Disregarded,
 };
 
+/// Who states an era.
+enum class EraSource : uint8_t
+{
+  Store,
+  /// Another instance, which may know less.
+  Relay,
+};
+
 /// The newest era of the store that this instance knows, from all answers of the store and of other instances. Not
 /// thread-safe.
 class StoreEras
@@ -27,9 +35,10 @@
   /// aOnNew is called within Judge() when a new era is known.
   void SetOnNew(OnNew aOnNew) { onNew_ = std::move(aOnNew); }
   /// Takes the era that an answer states, or none if it states none that can be read. One garbled answer must not
-  /// outdate all that follow: an era that is not the next one is believed when a second answer in a row states it, and
-  /// the very first one gives way to any other until a second answer confirms it.
-  EraVerdict Judge(StoreEra aStated);
+  /// outdate all that follow: an era that is not the next one is believed when a second answer states it before the
+  /// store itself has confirmed the known one, and the very first one gives way to any other until a second answer
+  /// confirms it.
+  EraVerdict Judge(StoreEra aStated, EraSource aSource = EraSource::Store);
   StoreEra Newest() const { return newest_; }
   /// Number of answers that were disregarded.
   uint64_t Disregarded() const { return disregarded_; }
@@ -41,7 +50,7 @@
   StoreEra newest_;
   /// Whether newest_ follows from more than the first answer of all.
   bool isConfirmed_ = false;
-  /// An era that the latest answer stated and that is not believed yet.
+  /// An era that an answer has stated and that is not believed yet.
   StoreEra candidate_;
   uint64_t disregarded_ = 0;
 };
--- a/tests/store_eras_test.cpp
+++ b/tests/store_eras_test.cpp
@@ -9,11 +9,18 @@
 
 using enum EraVerdict;
 
-/// Eras that answers state one after the other, and what each answer is worth. 0 stands for none.
+/// An answer that states an era, 0 for none, and what it is worth.
+struct StatedEra
+{
+  uint64_t era_;
+  EraVerdict verdict_;
+  EraSource source_ = EraSource::Store;
+};
+
 struct EraCase
 {
   const char* name_;
-  std::vector<std::pair<uint64_t, EraVerdict>> answers_;
+  std::vector<StatedEra> answers_;
   uint64_t newest_;
 };
 
@@ -29,8 +36,8 @@
   eras.SetOnNew([&](StoreEra) { begun++; });
   uint64_t expectedBegun = 0;
   uint64_t expectedDisregarded = 0;
-  for (const auto& [stated, verdict] : GetParam().answers_) {
-    EXPECT_EQ(eras.Judge(StoreEra(stated)), verdict) << "era " << stated;
+  for (const auto& [stated, verdict, source] : GetParam().answers_) {
+    EXPECT_EQ(eras.Judge(StoreEra(stated), source), verdict) << "era " << stated;
     expectedBegun += verdict == New ? 1 : 0;
     expectedDisregarded += verdict == Disregarded ? 1 : 0;
   }
@@ -56,6 +63,16 @@
              2 },
     EraCase{ "NoEraAfterOne", { { 1, New }, { 0, Disregarded }, { 1, Current } }, 1 },
     EraCase{ "SeveralPassedAtOnce", { { 1, New }, { 1, Current }, { 4, Disregarded }, { 4, New }, { 4, Current } }, 4 },
+    EraCase{ "RelayStatesTheOldEraBetween",
+             { { 1, New }, { 1, Current }, { 4, Disregarded }, { 1, Current, EraSource::Relay }, { 4, New } },
+             4 },
+    EraCase{ "RelayOfAnOlderEraBetween",
+             { { 2, New }, { 2, Current }, { 5, Disregarded }, { 1, Disregarded, EraSource::Relay }, { 5, New } },
+             5 },
+    EraCase{
+      "GarbledRelay",
+      { { 1, New }, { 1, Current }, { 900, Disregarded, EraSource::Relay }, { 1, Current }, { 900, Disregarded } },
+      1 },
     EraCase{ "OneGarbledAnswer",
              { { 1, New }, { 1, Current }, { 900, Disregarded }, { 1, Current }, { 900, Disregarded } },
              1 },
--- a/tests/store_return_test.cpp
+++ b/tests/store_return_test.cpp
@@ -432,6 +432,18 @@
   aFleet.store_->SetMode(StoreMode::Up);
 }
 
+/// The instances ask one another in turn with the store, and relays still state the era that they know.
+void
+ReturnThriceInALongOutage(RelayFleet& aFleet, const StoreEmulator::Copy& aCopy)
+{
+  aFleet.store_->SetMode(StoreMode::Silent);
+  aFleet.Advance(Seconds(6));
+  aFleet.store_->ReturnFrom(aCopy);
+  aFleet.store_->ReturnFrom(aCopy);
+  aFleet.store_->ReturnFrom(aCopy);
+  aFleet.store_->SetMode(StoreMode::Up);
+}
+
 void
 ReturnWhileRestarting(RelayFleet& aFleet, const StoreEmulator::Copy& aCopy)
 {
@@ -530,6 +542,7 @@
                          testing::Values(ReturnBesideCase{ "Alone", &Return },
                                          ReturnBesideCase{ "Twice", &ReturnTwice },
                                          ReturnBesideCase{ "ThriceUnheard", &ReturnThriceUnheard },
+                                         ReturnBesideCase{ "ThriceInALongOutage", &ReturnThriceInALongOutage },
                                          ReturnBesideCase{ "WhileRestarting", &ReturnWhileRestarting },
                                          ReturnBesideCase{ "WhileOneRelayIsCutOff", &ReturnWhileOneRelayIsCutOff },
                                          ReturnBesideCase{ "WhileAllButOneAreCutOff", &ReturnWhileAllButOneAreCutOff },
