Tell the model of eras who states one, and all that a state depends on

Seen by reading: states that differed only in an era that is not believed yet counted as one, so that continuations of some were left out. The instance that uses a relay judged its answers as those of the store.

--- a/src/process/store_eras.h
+++ b/src/process/store_eras.h
@@ -40,6 +40,10 @@
   /// confirms it.
   EraVerdict Judge(StoreEra aStated, EraSource aSource = EraSource::Store);
   StoreEra Newest() const { return newest_; }
+  /// An era that was stated and is not believed yet, or none.
+  StoreEra Candidate() const { return candidate_; }
+  /// Whether the newest era follows from more than the first answer of all.
+  bool IsConfirmed() const { return isConfirmed_; }
   /// Number of answers that were disregarded.
   uint64_t Disregarded() const { return disregarded_; }
 
@@ -48,9 +52,7 @@
 
   OnNew onNew_;
   StoreEra newest_;
-  /// Whether newest_ follows from more than the first answer of all.
   bool isConfirmed_ = false;
-  /// An era that an answer has stated and that is not believed yet.
   StoreEra candidate_;
   uint64_t disregarded_ = 0;
 };
--- a/tests/kind_progress_test.cpp
+++ b/tests/kind_progress_test.cpp
@@ -205,10 +205,10 @@
   const Content& Objects() const { return content_; }
   bool IsListed() const { return isListed_; }
 
-  void Take(const Answer& aAnswer)
+  void Take(const Answer& aAnswer, EraSource aSource)
   {
     const StoreEra era = order_ == Order::ByPosition ? aAnswer.era_ : StoreEra();
-    if (eras_.Judge(era) == EraVerdict::Disregarded) {
+    if (eras_.Judge(era, aSource) == EraVerdict::Disregarded) {
       return;
     }
     if (aAnswer.status_ != 200) {
@@ -265,7 +265,7 @@
   {
     std::ostringstream text;
     text << ToString(Known()) << ' ' << isListed_ << content_[0] << ',' << content_[1] << ' ' << eras_.Newest() << ' '
-         << ToString(oldest_);
+         << eras_.Candidate() << eras_.IsConfirmed() << ' ' << ToString(oldest_);
     for (const auto& [object, position] : changedAt_) {
       text << ' ' << object << '@' << ToString(position);
     }
@@ -378,9 +378,12 @@
     usesRelay_ = !usesRelay_;
     toInstance_.reset();
   }
-  void DeliverToRelay() { relay_.Take(*std::exchange(toRelay_, std::nullopt)); }
+  void DeliverToRelay() { relay_.Take(*std::exchange(toRelay_, std::nullopt), EraSource::Store); }
   void LoseForRelay() { toRelay_.reset(); }
-  void DeliverToInstance() { instance_.Take(*std::exchange(toInstance_, std::nullopt)); }
+  void DeliverToInstance()
+  {
+    instance_.Take(*std::exchange(toInstance_, std::nullopt), usesRelay_ ? EraSource::Relay : EraSource::Store);
+  }
   void LoseForInstance() { toInstance_.reset(); }
 
   /// What is known at a position must be what the store had there.
@@ -403,8 +406,9 @@
   {
     constexpr int kRounds = 6;
     for (int round = 0; round < kRounds; round++) {
-      relay_.Take(AskStore(relay_));
-      instance_.Take(usesRelay_ ? relay_.Serve(instance_) : AskStore(instance_));
+      relay_.Take(AskStore(relay_), EraSource::Store);
+      AskForInstance();
+      DeliverToInstance();
     }
     const Content& has = store_.History().at(store_.Position());
     return relay_.Objects() == has && instance_.Objects() == has ? FindFault() : "does not reach what the store has";
