--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -179,10 +179,16 @@
 }
 
 bool
-Stream::HasUnreadBytes() const
+Stream::WaitForBytes(int aTimeoutMs) const
 {
   pollfd waiting{ socket_, POLLIN, 0 };
-  return !buffer_.empty() || ::poll(&waiting, 1, 0) > 0;
+  return !buffer_.empty() || ::poll(&waiting, 1, aTimeoutMs) > 0;
+}
+
+bool
+Stream::HasUnreadBytes() const
+{
+  return WaitForBytes(0);
 }
 
 void
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -50,6 +50,8 @@
   /// Returns nothing if the other side ends or resets the connection, sends something else, or the time is over.
   std::optional<Message> Read(int aTimeoutMs);
 
+  /// Whether there are bytes to read, or the end of the connection, before the time is over.
+  bool WaitForBytes(int aTimeoutMs) const;
   bool HasUnreadBytes() const;
   void Close();
 
--- a/review/standin-2/replica.cpp
+++ b/review/standin-2/replica.cpp
@@ -41,16 +41,17 @@
 }
 
 nlohmann::json
-Replica::Entry(const std::string& aState) const
+Replica::Entry()
 {
+  const std::lock_guard lock(mutex_);
   return { { "service", settings_.service_ },
            { "address", "127.0.0.1:" + std::to_string(Port()) },
            { "zone", "zone-a" },
            { "version", 1 },
            { "slots", settings_.slots_ },
-           { "state", aState },
+           { "state", state_ },
            { "warmupLeftMs", 0 },
-           { "seqNo", 1 },
+           { "seqNo", ++checkIns_ },
            { "born", born_ } };
 }
 
@@ -68,22 +69,51 @@
   return spoiled_;
 }
 
+void
+Replica::Drain()
+{
+  const std::lock_guard lock(mutex_);
+  state_ = "draining";
+}
+
+bool
+Replica::HasExited() const
+{
+  return hasExited_;
+}
+
+void
+Replica::Exit()
+{
+  hasExited_ = true;
+}
+
 void
 Replica::Serve(Stream& aStream)
 {
   std::string late;
-  for (std::optional<Message> request = aStream.Read(kIdleMs); request; request = aStream.Read(kIdleMs)) {
+  int64_t idleUntil = NowMs() + kIdleMs;
+  while (!hasExited_ && aStream.IsOpen() && NowMs() < idleUntil) {
+    if (!aStream.WaitForBytes(20)) {
+      continue;
+    }
+    const std::optional<Message> request = aStream.Read(kIdleMs);
+    if (!request || hasExited_) {
+      return;
+    }
     if (!late.empty()) {
       record_.Note("additional bytes from " + settings_.id_ + " while it serves " + request->Get("Request-Id"));
       spoiled_++;
       aStream.Send(std::exchange(late, {}));
     }
-    if (!aStream.Send(Answer(*request).Text())) {
+    const std::string answer = Answer(*request).Text();
+    if (hasExited_ || !aStream.Send(answer)) {
       return;
     }
     if (DrawSpoiled()) {
       late = bytes_;
     }
+    idleUntil = NowMs() + kIdleMs;
   }
 }
 
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -34,13 +34,18 @@
   uint16_t Port() const;
   const std::string& Id() const;
 
-  /// Its entry in the platform's store.
-  nlohmann::json Entry(const std::string& aState = "ready") const;
+  /// Its entry in the platform's store, which counts the check-ins.
+  nlohmann::json Entry();
+  void Drain();
+  bool HasExited() const;
 
   /// The share is that of the answers, in percent.
   void Spoil(int aPercent, std::string aBytes);
   int SpoiledAnswers() const;
 
+  /// Ends as a process does: its connections close at once, and new ones are not served.
+  void Exit();
+
 private:
   void Serve(Stream& aStream);
   Message Answer(const Message& aRequest);
@@ -59,7 +64,10 @@
   int spoiledPercent_ = 0;
   std::string bytes_;
   std::atomic<int> spoiled_ = 0;
+  std::atomic<bool> hasExited_ = false;
   int64_t born_;
+  uint64_t checkIns_ = 0;
+  std::string state_ = "ready";
   Listener listener_;
 };
 
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -9,6 +9,7 @@
 
 constexpr int kIdleMs = 120000;
 constexpr size_t kPageSize = 500;
+constexpr size_t kPageBytes = 1048576;
 const std::string kRoot = "/-/objects/";
 
 std::map<std::string, std::string>
@@ -53,6 +54,21 @@
   PutLocked(aKind, aName, aSpec);
 }
 
+void
+Store::CheckIn(const std::string& aName, const Json& aSpec)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = objects_["servers"].find(aName);
+  if (found != objects_["servers"].end() && found->second["spec"].is_object()) {
+    Json known = found->second["spec"];
+    known["seqNo"] = aSpec["seqNo"];
+    if (known == aSpec) {
+      return;
+    }
+  }
+  PutLocked("servers", aName, aSpec);
+}
+
 void
 Store::Delete(const std::string& aKind, const std::string& aName)
 {
@@ -156,7 +172,12 @@
   const auto& objects = objects_[aKind];
   auto next = aQuery.contains("after") ? objects.upper_bound(aQuery.at("after")) : objects.begin();
   Json items = Json::array();
+  size_t bytes = 0;
   for (; next != objects.end() && items.size() < kPageSize; ++next) {
+    bytes += next->second.dump().size();
+    if (bytes > kPageBytes && !items.empty()) {
+      break;
+    }
     items.push_back(next->second);
   }
   return MakeJson(200, { { "items", items }, { "hasMore", next != objects.end() }, { "asOf", revision_ } });
--- a/review/standin-2/store.h
+++ b/review/standin-2/store.h
@@ -26,6 +26,8 @@
 
   /// Writes as the operator or a replica.
   void Put(const std::string& aKind, const std::string& aName, const Json& aSpec);
+  /// A check-in of a replica: the entry changes when more than its count of check-ins does.
+  void CheckIn(const std::string& aName, const Json& aSpec);
   void Delete(const std::string& aKind, const std::string& aName);
   Json Get(const std::string& aKind, const std::string& aName) const;
 
