--- a/review/standin-2/entry.cpp
+++ b/review/standin-2/entry.cpp
@@ -125,4 +125,16 @@
   return status_;
 }
 
+size_t
+Entry::ResidentKb() const
+{
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:")) {
+      return std::strtoul(line.c_str() + line.find_first_of("0123456789"), nullptr, 10);
+    }
+  }
+  return 0;
+}
+
 } // namespace standin
--- a/review/standin-2/entry.h
+++ b/review/standin-2/entry.h
@@ -32,6 +32,8 @@
   bool IsRunning();
   uint16_t Port() const;
   int ExitStatus() const;
+  /// Memory that the process has resident, or 0 when it doesn't run.
+  size_t ResidentKb() const;
 
 private:
   std::string program_;
--- a/review/standin-2/replica.cpp
+++ b/review/standin-2/replica.cpp
@@ -106,12 +106,12 @@
       spoiled_++;
       aStream.Send(std::exchange(late, {}));
     }
-    const std::string answer = Answer(*request).Text();
-    if (hasExited_ || !aStream.Send(answer)) {
+    const Message answer = Answer(*request);
+    if (hasExited_ || !aStream.Send(answer.Text())) {
       return;
     }
     if (DrawSpoiled()) {
-      late = bytes_;
+      late = SpoiledBytes(answer.Get("Server-Stamp"));
     }
     idleUntil = NowMs() + kIdleMs;
   }
@@ -174,6 +174,16 @@
   return MakeAnswer(aStatus, std::move(fields), "");
 }
 
+std::string
+Replica::SpoiledBytes(const std::string& aStamp)
+{
+  static const std::string kStamp = "{stamp}";
+  const std::lock_guard lock(mutex_);
+  std::string bytes = bytes_;
+  const size_t place = bytes.find(kStamp);
+  return place == std::string::npos ? bytes : bytes.replace(place, kStamp.size(), aStamp);
+}
+
 bool
 Replica::DrawSpoiled()
 {
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -39,7 +39,7 @@
   void Drain();
   bool HasExited() const;
 
-  /// The share is that of the answers, in percent.
+  /// The share is that of the answers, in percent. {stamp} stands for the stamp of the answer before.
   void Spoil(int aPercent, std::string aBytes);
   int SpoiledAnswers() const;
 
@@ -51,6 +51,7 @@
   Message Answer(const Message& aRequest);
   Message Run(const Message& aRequest);
   Message Refuse(int aStatus, const Message& aRequest) const;
+  std::string SpoiledBytes(const std::string& aStamp);
   bool DrawSpoiled();
 
   ReplicaSettings settings_;
